Lay out the modules, ids, ports and build checks

Cause: an empty repository. Change: six Maven modules with the formatter and linter failing the build, value types for ids, ports to the platform, the reasons of an answer. Conclusion: a frame for the thin whole path.

--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Workers, pools, ownership, and moves of workers between pools. */
+package org.crocusgrade.core.fleet;
--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/id/CustomerId.java
@@ -0,0 +1,21 @@
+package org.crocusgrade.core.id;
+
+import org.crocusgrade.core.misc.Names;
+
+/** Names the customer on whose behalf a caller asks; quotas go by it. */
+public record CustomerId(String value) implements Comparable<CustomerId> {
+    /** Checks the text. */
+    public CustomerId {
+        Names.requireName("customer id", value);
+    }
+
+    @Override
+    public int compareTo(CustomerId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/id/PublishId.java
@@ -0,0 +1,21 @@
+package org.crocusgrade.core.id;
+
+import org.crocusgrade.core.misc.Names;
+
+/** Names one publish of configuration, chosen by its publisher. */
+public record PublishId(String value) implements Comparable<PublishId> {
+    /** Checks the text. */
+    public PublishId {
+        Names.requireName("publish id", value);
+    }
+
+    @Override
+    public int compareTo(PublishId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/misc/package-info.java
@@ -0,0 +1,2 @@
+/** Small helpers that several subjects share. */
+package org.crocusgrade.core.misc;
--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/port/KeyValueStore.java
@@ -0,0 +1,48 @@
+package org.crocusgrade.core.port;
+
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The platform's key-value service. Each Uni fails with a {@link StoreException}. Every call, a
+ * waiting watch too, counts against the service's rates.
+ */
+public interface KeyValueStore {
+    /** The revision that an absent entry has in {@link #compareAndSet}. */
+    long ABSENT = 0;
+
+    /** Largest value, in bytes. */
+    int MAX_VALUE_BYTES = 1 << 20;
+
+    /** Reads one entry. */
+    Uni<Optional<StoreEntry>> get(String key);
+
+    /** Reads all entries whose keys start with the prefix, in order of key. */
+    Uni<List<StoreEntry>> list(String prefix);
+
+    /**
+     * Writes an entry if its revision is the expected one.
+     *
+     * @param expected the revision read before, or {@link #ABSENT}
+     * @param lease the lease with which the entry is to lapse, if any
+     * @return the new revision
+     */
+    Uni<Long> compareAndSet(String key, long expected, byte[] value, Optional<LeaseId> lease);
+
+    /** Deletes an entry if its revision is the expected one. */
+    Uni<Void> delete(String key, long expected);
+
+    /** Waits until something under the prefix changes after the revision, or the wait ends. */
+    Uni<WatchResult> watch(String prefix, long afterRevision, Duration wait);
+
+    /** Makes a lease that lapses unless it is renewed within its time to live. */
+    Uni<LeaseId> grantLease(Duration timeToLive);
+
+    /** Renews a lease for its whole time to live. */
+    Uni<Void> renewLease(LeaseId lease);
+
+    /** Ends a lease and deletes what lapses with it. */
+    Uni<Void> revokeLease(LeaseId lease);
+}
--- /dev/null
+++ b/core/src/test/java/org/crocusgrade/core/id/IdsTest.java
@@ -0,0 +1,23 @@
+package org.crocusgrade.core.id;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.AlphaChars;
+import net.jqwik.api.constraints.StringLength;
+import org.junit.jupiter.api.Test;
+
+class IdsTest {
+    @Property(tries = 100, seed = "1")
+    void lettersAreNames(@ForAll @AlphaChars @StringLength(min = 1, max = 128) String text) {
+        assertThat(new WorkerId(text).value(), is(text));
+    }
+
+    @Test
+    void aKeyWithASpaceIsRefused() {
+        assertThrows(IllegalArgumentException.class, () -> new IdempotencyKey("a b"));
+    }
+}
