--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/FairQueue.java
@@ -0,0 +1,254 @@
+package org.crocusgrade.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
+import org.crocusgrade.core.id.CustomerId;
+
+/**
+ * Waiting requests in the order in which they shall start: fair between customers by start-time
+ * fair queueing, and by deadline within one customer.
+ *
+ * <p>Each customer has a tag, the slot time that it has been charged, in nanoseconds. The customer
+ * with the lowest tag goes next; a start adds the expected run time to its tag, and the end of the
+ * run corrects the tag by what the run really took. A customer that comes back after a pause starts
+ * at the queue's virtual time, the tag of the last start, so that it neither saves up a claim while
+ * it is away nor pays for the others' backlog.
+ *
+ * <p>Why this is fair: between two customers that both wait all the time, tags differ by at most
+ * one run of each, since only the lower one is ever raised; so their slot time differs by at most
+ * that, however many requests one of them sends. Example: A sends 100 requests, then B sends 2, all
+ * of 10 ms, on one slot. A starts at tag 0; after its first start A is at 10 and B enters at 0, so
+ * B starts, ties with A at 10, and its second request starts no later than after A's second.
+ *
+ * <p>It is slow where thousands of customers wait at once and all of the first ones are at their
+ * quota, since each of those is looked at for each start.
+ */
+final class FairQueue {
+    /** Requests of one customer that are tried for the free slots before the next customer is. */
+    private static final int LOOK_AHEAD = 8;
+
+    private static final Comparator<Flow> BY_TAG =
+            Comparator.<Flow>comparingDouble(flow -> flow.tag)
+                    .thenComparing(flow -> flow.customer.value());
+
+    private final Map<CustomerId, Flow> flows = new HashMap<>();
+    private final TreeSet<Flow> active = new TreeSet<>(BY_TAG);
+    private double virtualNanos;
+    private int size;
+
+    /** Returns the requests that wait. */
+    int size() {
+        return size;
+    }
+
+    /** Returns the requests of a customer that wait. */
+    int size(CustomerId customer) {
+        Flow flow = flows.get(customer);
+        return flow == null ? 0 : flow.waiting.size();
+    }
+
+    /** Adds a request. */
+    void add(PendingRequest pending) {
+        Flow flow = flows.computeIfAbsent(pending.request.customer(), Flow::new);
+        if (flow.waiting.isEmpty()) {
+            flow.tag = Math.max(flow.tag, virtualNanos);
+            active.add(flow);
+        }
+        flow.waiting.add(pending);
+        size++;
+    }
+
+    /** Removes a request that left; returns false if it does not wait here. */
+    boolean remove(PendingRequest pending) {
+        Flow flow = flows.get(pending.request.customer());
+        if (flow == null || !flow.waiting.remove(pending)) {
+            return false;
+        }
+        size--;
+        if (flow.waiting.isEmpty()) {
+            active.remove(flow);
+            dropIfIdle(flow);
+        }
+        return true;
+    }
+
+    /**
+     * Takes the next request that may start.
+     *
+     * @param limit the slots that a customer may hold
+     * @param startable whether a slot is there for the request
+     * @param costNanos the expected run time
+     * @return null if none may start
+     */
+    PendingRequest poll(
+            ToIntFunction<CustomerId> limit,
+            Predicate<PendingRequest> startable,
+            double costNanos) {
+        for (Flow flow : active) {
+            if (flow.running >= limit.applyAsInt(flow.customer)) {
+                continue;
+            }
+            PendingRequest pending = firstStartable(flow, startable);
+            if (pending == null) {
+                continue;
+            }
+            active.remove(flow);
+            flow.waiting.remove(pending);
+            size--;
+            virtualNanos = Math.max(virtualNanos, flow.tag);
+            flow.tag += costNanos;
+            flow.running++;
+            if (!flow.waiting.isEmpty()) {
+                active.add(flow);
+            }
+            return pending;
+        }
+        return null;
+    }
+
+    private static PendingRequest firstStartable(Flow flow, Predicate<PendingRequest> startable) {
+        int looked = 0;
+        for (PendingRequest pending : flow.waiting) {
+            if (startable.test(pending)) {
+                return pending;
+            }
+            if (++looked == LOOK_AHEAD) {
+                return null;
+            }
+        }
+        return null;
+    }
+
+    /** Corrects a customer's charge at the end of a run by its real less its expected time. */
+    void ended(CustomerId customer, double correctionNanos) {
+        Flow flow = flows.get(customer);
+        flow.running--;
+        boolean waits = !flow.waiting.isEmpty();
+        if (waits) {
+            active.remove(flow);
+        }
+        flow.tag += correctionNanos;
+        if (waits) {
+            active.add(flow);
+        }
+        dropIfIdle(flow);
+    }
+
+    /** Returns the slots that a customer's requests of this queue hold. */
+    int running(CustomerId customer) {
+        Flow flow = flows.get(customer);
+        return flow == null ? 0 : flow.running;
+    }
+
+    /**
+     * Returns how many waiting requests would start before a new one.
+     *
+     * @param costNanos the expected run time of each
+     */
+    int ahead(Request request, double costNanos) {
+        Flow own = flows.get(request.customer());
+        int earlier = own == null ? 0 : own.earlier(request.deadlineNanos());
+        double tag = own == null ? virtualNanos : Math.max(own.tag, virtualNanos);
+        double newTag = tag + earlier * costNanos;
+        int count = earlier;
+        for (Flow flow : active) {
+            if (flow.tag > newTag) {
+                break;
+            }
+            if (flow != own) {
+                double starts = Math.floor((newTag - flow.tag) / costNanos) + 1;
+                count += (int) Math.min(flow.waiting.size(), starts);
+            }
+        }
+        return count;
+    }
+
+    /** Returns the last request of the customer with the most waiting requests; null if empty. */
+    PendingRequest lastOfLongest() {
+        Flow longest = null;
+        for (Flow flow : active) {
+            if (longest == null || flow.waiting.size() > longest.waiting.size()) {
+                longest = flow;
+            }
+        }
+        return longest == null ? null : longest.waiting.last();
+    }
+
+    /** Returns all waiting requests in the order in which they would start. */
+    List<PendingRequest> inOrder(double costNanos) {
+        List<PendingRequest> order = new ArrayList<>(size);
+        PriorityQueue<Cursor> heap =
+                new PriorityQueue<>(
+                        Comparator.<Cursor>comparingDouble(cursor -> cursor.tag)
+                                .thenComparing(cursor -> cursor.customer));
+        for (Flow flow : active) {
+            heap.add(new Cursor(flow));
+        }
+        while (!heap.isEmpty()) {
+            Cursor cursor = heap.poll();
+            order.add(cursor.waiting.next());
+            if (cursor.waiting.hasNext()) {
+                cursor.tag += costNanos;
+                heap.add(cursor);
+            }
+        }
+        return order;
+    }
+
+    private void dropIfIdle(Flow flow) {
+        if (isIdle(flow)) {
+            flows.remove(flow.customer);
+        }
+    }
+
+    /** Forgets customers that are away and whose charge the virtual time has passed. */
+    void prune() {
+        flows.values().removeIf(this::isIdle);
+    }
+
+    private boolean isIdle(Flow flow) {
+        return flow.waiting.isEmpty() && flow.running == 0 && flow.tag <= virtualNanos;
+    }
+
+    private static final class Flow {
+        private final CustomerId customer;
+        private final TreeSet<PendingRequest> waiting = new TreeSet<>(PendingRequest::byDeadline);
+        private double tag;
+        private int running;
+
+        private Flow(CustomerId customer) {
+            this.customer = customer;
+        }
+
+        private int earlier(long deadlineNanos) {
+            int count = 0;
+            for (PendingRequest pending : waiting) {
+                if (pending.request.deadlineNanos() - deadlineNanos > 0) {
+                    break;
+                }
+                count++;
+            }
+            return count;
+        }
+    }
+
+    private static final class Cursor {
+        private final Iterator<PendingRequest> waiting;
+        private final String customer;
+        private double tag;
+
+        private Cursor(Flow flow) {
+            waiting = flow.waiting.iterator();
+            customer = flow.customer.value();
+            tag = flow.tag;
+        }
+    }
+}
--- a/core/src/main/java/org/crocusgrade/core/dispatch/Reason.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/Reason.java
@@ -52,6 +52,13 @@
             502,
             Severity.WARNING,
             "The request failed on several workers."),
+    /** The request failed, and the time or the retry budget did not suffice for another try. */
+    RETRY_GIVEN_UP(
+            "retry-given-up",
+            Outcome.UNKNOWN,
+            502,
+            Severity.WARNING,
+            "The request failed and was not tried again in time."),
     /** The daemon is stopping. */
     STOPPING("stopping", Outcome.NOT_RUN, 503, Severity.INFO, "The daemon is stopping."),
     /** The caller left while the request waited. */
--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/RunTimes.java
@@ -0,0 +1,110 @@
+package org.crocusgrade.core.dispatch;
+
+import java.time.Duration;
+
+/**
+ * Learned run times of a service's requests.
+ *
+ * <p>Run times are kept as weights in buckets of equal ratio, 4 to a doubling. When the weights
+ * reach {@link #WINDOW} all are halved, so that old runs fade. Quantiles come from the buckets; the
+ * mean leaves out what lies above eight times the 95% quantile, so that one run that hangs cannot
+ * turn away work for minutes. Until {@link #ENOUGH} runs were seen the declared time stands for the
+ * mean, but {@link #known()} is false and nothing may be refused on the strength of it.
+ */
+final class RunTimes {
+    /** Runs after which the learned time counts. */
+    static final int ENOUGH = 8;
+
+    private static final int WINDOW = 512;
+    private static final int PER_DOUBLING = 4;
+    private static final int BUCKETS = 40 * PER_DOUBLING;
+    private static final double OUTLIER_RATIO = 8.0;
+    private static final double TAIL = 0.95;
+    private static final double LN_2 = Math.log(2);
+
+    private final double[] weights = new double[BUCKETS];
+    private final double declaredNanos;
+    private double total;
+    private long seen;
+    private boolean stale = true;
+    private double meanNanos;
+
+    RunTimes(Duration declared) {
+        declaredNanos = Math.max(1, declared.toNanos());
+        meanNanos = declaredNanos;
+    }
+
+    /** Adds the time of one run. */
+    void add(long nanos) {
+        weights[bucket(nanos)] += 1;
+        total += 1;
+        seen++;
+        stale = true;
+        if (total < WINDOW) {
+            return;
+        }
+        for (int i = 0; i < BUCKETS; i++) {
+            weights[i] /= 2;
+        }
+        total /= 2;
+    }
+
+    /** Returns whether enough runs were seen to judge by. */
+    boolean known() {
+        return seen >= ENOUGH;
+    }
+
+    /** Returns the mean without outliers, or the declared time. */
+    double meanNanos() {
+        if (!known()) {
+            return declaredNanos;
+        }
+        if (stale) {
+            meanNanos = computeMean();
+            stale = false;
+        }
+        return meanNanos;
+    }
+
+    /** Returns a quantile, or the declared time. */
+    double quantileNanos(double share) {
+        return known() ? quantile(share) : declaredNanos;
+    }
+
+    private double quantile(double share) {
+        double left = share * total;
+        for (int i = 0; i < BUCKETS; i++) {
+            if (weights[i] > 0 && left <= weights[i]) {
+                return value(i + left / weights[i] - 0.5);
+            }
+            left -= weights[i];
+        }
+        return value(BUCKETS - 1);
+    }
+
+    private double computeMean() {
+        double cap = OUTLIER_RATIO * quantile(TAIL);
+        double sum = 0;
+        double count = 0;
+        for (int i = 0; i < BUCKETS; i++) {
+            double value = value(i);
+            if (value <= cap) {
+                sum += weights[i] * value;
+                count += weights[i];
+            }
+        }
+        return sum / count;
+    }
+
+    private static int bucket(long nanos) {
+        if (nanos <= 1) {
+            return 0;
+        }
+        int i = (int) Math.round(Math.log(nanos) / LN_2 * PER_DOUBLING);
+        return Math.min(BUCKETS - 1, i);
+    }
+
+    private static double value(double bucket) {
+        return Math.pow(2, bucket / PER_DOUBLING);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/SlotTable.java
@@ -0,0 +1,141 @@
+package org.crocusgrade.core.dispatch;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.crocusgrade.core.id.AvailabilityZone;
+import org.crocusgrade.core.id.WorkerId;
+
+/** The slots that the daemon may use, what runs on them, and the choice among the free ones. */
+final class SlotTable {
+    private final Map<WorkerId, Entry> entries = new LinkedHashMap<>();
+    private final Optional<AvailabilityZone> zone;
+    private int granted;
+    private int running;
+
+    SlotTable(Optional<AvailabilityZone> zone) {
+        this.zone = zone;
+    }
+
+    /** Takes a grant in place of the one before. */
+    void set(SlotGrant grant) {
+        Entry entry = entries.get(grant.worker());
+        if (entry == null) {
+            if (grant.slots() == 0) {
+                return;
+            }
+            entry = new Entry(grant);
+            entries.put(grant.worker(), entry);
+        } else {
+            granted -= entry.grant.slots();
+            entry.grant = grant;
+        }
+        granted += grant.slots();
+        dropIfUnused(entry);
+    }
+
+    /** Returns the slots granted. */
+    int granted() {
+        return granted;
+    }
+
+    /** Returns the slots in use, recalled ones too. */
+    int running() {
+        return running;
+    }
+
+    /** Returns the slots in use on one worker. */
+    int running(WorkerId worker) {
+        Entry entry = entries.get(worker);
+        return entry == null ? 0 : entry.running;
+    }
+
+    /** Returns the slots that a request could start on now. */
+    int free(long now) {
+        int free = 0;
+        for (Entry entry : entries.values()) {
+            free += entry.free(now);
+        }
+        return free;
+    }
+
+    /**
+     * Returns the worker to start a request on: one that it has not failed on, in the daemon's own
+     * availability zone if one is free there, and then the one with the most free slots.
+     */
+    Optional<WorkerId> choose(PendingRequest pending, long now) {
+        Entry best = null;
+        long bestRank = 0;
+        for (Entry entry : entries.values()) {
+            if (entry.free(now) == 0
+                    || !SlotGrant.fits(pending.request.needs(), entry.grant.size())) {
+                continue;
+            }
+            long rank = rank(entry, pending, now);
+            if (best == null || rank > bestRank) {
+                best = entry;
+                bestRank = rank;
+            }
+        }
+        return best == null ? Optional.empty() : Optional.of(best.grant.worker());
+    }
+
+    private long rank(Entry entry, PendingRequest pending, long now) {
+        boolean fresh = !pending.failedOn.contains(entry.grant.worker());
+        boolean near = zone.isPresent() && zone.get().equals(entry.grant.zone());
+        return (fresh ? 1L << 32 : 0) + (near ? 1L << 31 : 0) + entry.free(now);
+    }
+
+    /** Counts a start. */
+    void started(WorkerId worker) {
+        entries.get(worker).running++;
+        running++;
+    }
+
+    /** Counts an end. */
+    void ended(WorkerId worker) {
+        Entry entry = entries.get(worker);
+        entry.running--;
+        running--;
+        dropIfUnused(entry);
+    }
+
+    /** Keeps new work off a worker until a time. */
+    void pause(WorkerId worker, long untilNanos) {
+        Entry entry = entries.get(worker);
+        if (entry != null) {
+            entry.paused = true;
+            entry.pausedUntilNanos = untilNanos;
+        }
+    }
+
+    private void dropIfUnused(Entry entry) {
+        if (entry.running == 0 && entry.grant.slots() == 0) {
+            entries.remove(entry.grant.worker());
+        }
+    }
+
+    private static final class Entry {
+        private SlotGrant grant;
+        private int running;
+        private boolean paused;
+        private long pausedUntilNanos;
+
+        private Entry(SlotGrant grant) {
+            this.grant = grant;
+        }
+
+        private int free(long now) {
+            if (grant.untilNanos() - now <= 0) {
+                return 0;
+            }
+            if (paused) {
+                if (pausedUntilNanos - now > 0) {
+                    return 0;
+                }
+                paused = false;
+            }
+            return Math.max(0, grant.slots() - running);
+        }
+    }
+}
