--- a/core/src/main/java/org/crocusgrade/core/dispatch/ServiceQueue.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/ServiceQueue.java
@@ -285,7 +285,6 @@
     }
 
     private void pump(long now) {
-        sweep(now);
         int free = slots.free(now);
         while (free > 0 && lanes.size() > 0) {
             PendingRequest next =
@@ -297,6 +296,7 @@
             start(next, now);
             free--;
         }
+        sweep(now);
         publish(now);
     }
 
