--- a/core/src/main/java/org/crocusgrade/core/dispatch/RunEnd.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/RunEnd.java
@@ -43,6 +43,11 @@
         return kind == Kind.NOT_RUN;
     }
 
+    /** Returns whether the end counts against the worker. */
+    public boolean blamesWorker() {
+        return kind != Kind.ANSWER && kind != Kind.NOT_RUN || this == NOT_SENT;
+    }
+
     /** Returns whether a whole answer of this attempt can be passed on. */
     public boolean hasAnswer() {
         return kind == Kind.ANSWER || kind == Kind.FAILED_ANSWER;
--- a/core/src/main/java/org/crocusgrade/core/dispatch/ServiceQueue.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/ServiceQueue.java
@@ -190,6 +190,9 @@
         } else if (end.provesNotRun()) {
             slots.pause(worker, now + FULL_PAUSE_NANOS);
         }
+        if (end == RunEnd.ANSWERED || end.blamesWorker()) {
+            slots.judged(worker, end.blamesWorker(), now);
+        }
     }
 
     private void settle(PendingRequest entry, RunEnd end, long now) {
--- a/core/src/main/java/org/crocusgrade/core/dispatch/SlotTable.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/SlotTable.java
@@ -8,6 +8,10 @@
 
 /** The slots that the daemon may use, what runs on them, and the choice among the free ones. */
 final class SlotTable {
+    private static final int FAILURES_IN_A_ROW = 3;
+    private static final long FIRST_PAUSE_NANOS = 20_000_000L;
+    private static final long LONGEST_PAUSE_NANOS = 1_000_000_000L;
+
     private final Map<WorkerId, Entry> entries = new LinkedHashMap<>();
     private final Optional<AvailabilityZone> zone;
     private int granted;
@@ -109,6 +113,34 @@
         }
     }
 
+    /**
+     * Takes the success or failure of an attempt. A worker that fails several in a row is paused
+     * for a time that doubles with each more, as its slots come free at once and would draw all
+     * work; but at most half of the granted slots are paused so.
+     */
+    void judged(WorkerId worker, boolean failed, long now) {
+        Entry entry = entries.get(worker);
+        if (entry == null) {
+            return;
+        }
+        entry.failures = failed ? entry.failures + 1 : 0;
+        int over = entry.failures - FAILURES_IN_A_ROW;
+        if (over < 0 || 2 * (pausedSlots(entry, now) + entry.grant.slots()) > granted) {
+            return;
+        }
+        pause(worker, now + Math.min(LONGEST_PAUSE_NANOS, FIRST_PAUSE_NANOS << Math.min(over, 20)));
+    }
+
+    private int pausedSlots(Entry except, long now) {
+        int count = 0;
+        for (Entry entry : entries.values()) {
+            if (entry != except && entry.paused && entry.pausedUntilNanos - now > 0) {
+                count += entry.grant.slots();
+            }
+        }
+        return count;
+    }
+
     private void dropIfUnused(Entry entry) {
         if (entry.running == 0 && entry.grant.slots() == 0) {
             entries.remove(entry.grant.worker());
@@ -118,6 +150,7 @@
     private static final class Entry {
         private SlotGrant grant;
         private int running;
+        private int failures;
         private boolean paused;
         private long pausedUntilNanos;
 
--- a/core/src/test/java/org/crocusgrade/core/dispatch/CheckedWorkers.java
+++ b/core/src/test/java/org/crocusgrade/core/dispatch/CheckedWorkers.java
@@ -83,14 +83,14 @@
                 running.values().stream().filter(a -> a.worker().equals(attempt.worker())).count();
         require(busy < grant.slots(), "more starts than slots: " + attempt);
         require(running.put(attempt.id(), attempt) == null, "attempt id used twice");
-        log.add("start " + attempt.id() + " on " + attempt.worker());
+        note("start " + attempt.id() + " on " + attempt.worker());
     }
 
     @Override
     public void deliver(Attempt attempt) {
         requireFirst(attempt.request(), Reason.OK);
         require(!running.containsKey(attempt.id()), "delivered before its end");
-        log.add("deliver " + attempt.id());
+        note("deliver " + attempt.id());
     }
 
     @Override
@@ -100,19 +100,19 @@
             require(mayHaveRun.getOrDefault(request.id(), 0) == 0, "not-run, but it may have run");
         }
         String after = retryAfter.map(d -> " retry-after " + d.toMillis() + "ms").orElse("");
-        log.add("answer " + request.id() + " " + reason.code + after);
+        note("answer " + request.id() + " " + reason.code + after);
     }
 
     @Override
     public void cancelRun(Attempt attempt) {
         require(running.containsKey(attempt.id()), "cancelled but not running");
         require(mayCancel, "cancelled against the service's settings");
-        log.add("cancel-run " + attempt.id() + " on " + attempt.worker());
+        note("cancel-run " + attempt.id() + " on " + attempt.worker());
     }
 
     @Override
     public void retried(Attempt failed, RunEnd end) {
-        log.add("retry " + failed.id() + " after " + end);
+        note("retry " + failed.id() + " after " + end);
     }
 
     /** Checks that every request offered has its answer. */
@@ -125,6 +125,10 @@
         require(answers.put(request.id(), reason) == null, "answered twice: " + request.id());
     }
 
+    private void note(String action) {
+        log.add(now / 1_000_000 + " " + action);
+    }
+
     private static void require(boolean holds, String fault) {
         if (!holds) {
             throw new AssertionError(fault);
--- a/core/src/test/java/org/crocusgrade/core/dispatch/ServiceQueuePropertyTest.java
+++ b/core/src/test/java/org/crocusgrade/core/dispatch/ServiceQueuePropertyTest.java
@@ -186,7 +186,7 @@
             workers.advance(workers.now + 100 * MILLI);
             RequestId id = workers.running.keySet().iterator().next();
             workers.end(id, end == 0 ? RunEnd.ANSWERED : RunEnd.ANSWER_CUT);
-            long retries = workers.log.stream().filter(l -> l.startsWith("retry")).count();
+            long retries = workers.log.stream().filter(l -> l.contains(" retry ")).count();
             double most = RetryBudget.START + RetryBudget.SHARE * number;
             assertThat((double) retries, is(lessThanOrEqualTo(most + 1e-6)));
         }
