Add the authenticated link between daemons

Cause: daemons need to exchange leases, digests and configuration. Change: Netty frames of protobuf messages, each with a tag over both nonces and a sequence number; bounds on frame length and waiting messages, each drop counted by reason. Ruled out: one connection used both ways, which needs a rule for simultaneous dials. Conclusion: messages are soft state, dropped rather than kept.

--- /dev/null
+++ b/peer/src/main/java/org/crocusgrade/peer/PeerNode.java
@@ -0,0 +1,198 @@
+package org.crocusgrade.peer;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.crocusgrade.core.id.BootId;
+import org.crocusgrade.core.id.DaemonId;
+import org.crocusgrade.peer.proto.Envelope;
+import org.crocusgrade.peer.proto.Greeting;
+
+/**
+ * One daemon's end of the link to all others.
+ *
+ * <p>Each daemon dials a connection of its own to every peer it sends to, and only reads from the
+ * connections that it accepts. Messages are soft state that their senders repeat: one that cannot
+ * be sent within the bounds is dropped and counted, never kept for later.
+ */
+public final class PeerNode {
+    /** The longest frame, in bytes: a configuration blob and room for its envelope. */
+    public static final int MAX_FRAME_BYTES = (1 << 20) + (1 << 16);
+
+    /** The most messages that wait for a connection to come up. */
+    static final int MAX_WAITING = 64;
+
+    static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+    static final Duration RETRY_DELAY = Duration.ofMillis(250);
+
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int LENGTH_BYTES = 4;
+    private static final Duration STOP_TIMEOUT = Duration.ofSeconds(2);
+
+    private final DaemonId self;
+    private final BootId boot;
+    private final PeerKey key;
+    private final PeerListener listener;
+    private final EventLoopGroup loops;
+    private final Map<DaemonId, InetSocketAddress> addresses = new ConcurrentHashMap<>();
+    private final Map<DaemonId, OutgoingPeer> outgoing = new ConcurrentHashMap<>();
+    private Channel server;
+
+    /**
+     * Makes a node; {@link #start} makes it listen.
+     *
+     * @param threads the threads that read and write
+     */
+    public PeerNode(DaemonId self, BootId boot, PeerKey key, PeerListener listener, int threads) {
+        this.self = self;
+        this.boot = boot;
+        this.key = key;
+        this.listener = listener;
+        loops = new NioEventLoopGroup(threads, new DefaultThreadFactory("peer", true));
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @return the address, its port chosen by the system when the given one is 0
+     * @throws PeerException if the address cannot be bound
+     */
+    public InetSocketAddress start(InetSocketAddress listen) throws PeerException {
+        try {
+            server =
+                    new ServerBootstrap()
+                            .group(loops)
+                            .channel(NioServerSocketChannel.class)
+                            .option(ChannelOption.SO_REUSEADDR, true)
+                            .childOption(ChannelOption.TCP_NODELAY, true)
+                            .childHandler(initializer(true))
+                            .bind(listen)
+                            .sync()
+                            .channel();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new PeerException("Interrupted while binding " + listen, e);
+        } catch (Exception e) {
+            throw new PeerException("Cannot listen for peers on " + listen, e);
+        }
+        InetSocketAddress bound = (InetSocketAddress) server.localAddress();
+        logger.atInfo().log("peer: listening on %s", bound);
+        return bound;
+    }
+
+    /** Sets where a peer listens; a changed address ends the connection to the old one. */
+    public void setAddress(DaemonId peer, InetSocketAddress address) {
+        InetSocketAddress old = addresses.put(peer, address);
+        if (old != null && !old.equals(address)) {
+            removeConnection(peer);
+        }
+    }
+
+    /** Forgets a peer that has left. */
+    public void removePeer(DaemonId peer) {
+        addresses.remove(peer);
+        removeConnection(peer);
+    }
+
+    /** Sends a message, or drops and counts it. */
+    public void send(DaemonId to, Envelope message) {
+        InetSocketAddress address = addresses.get(to);
+        if (address == null) {
+            listener.onDrop(FrameDropReason.NO_ADDRESS);
+            return;
+        }
+        outgoing.computeIfAbsent(to, id -> new OutgoingPeer(this, address)).send(message);
+    }
+
+    /** Closes every connection and stops the threads. */
+    public void stop() {
+        if (server != null) {
+            server.close();
+        }
+        outgoing.keySet().forEach(this::removeConnection);
+        loops.shutdownGracefully(0, STOP_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns the frames sent and the bytes of their payloads since the start. */
+    public LinkTotals totals() {
+        long messages = 0;
+        long bytes = 0;
+        for (OutgoingPeer peer : outgoing.values()) {
+            messages += peer.messages();
+            bytes += peer.bytes();
+        }
+        return new LinkTotals(messages, bytes);
+    }
+
+    PeerListener listener() {
+        return listener;
+    }
+
+    EventLoopGroup loops() {
+        return loops;
+    }
+
+    Envelope greeting() {
+        Greeting greeting =
+                Greeting.newBuilder().setDaemon(self.value()).setBoot(boot.value()).build();
+        return Envelope.newBuilder().setGreeting(greeting).build();
+    }
+
+    Bootstrap dialer(EventLoop loop) {
+        return new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(
+                        ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                        Math.toIntExact(CONNECT_TIMEOUT.toMillis()))
+                .handler(initializer(false));
+    }
+
+    private ChannelInitializer<SocketChannel> initializer(boolean accepted) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                channel.pipeline()
+                        .addLast(
+                                new LengthFieldBasedFrameDecoder(
+                                        MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+                        .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+                        .addLast(new FrameCodec(key, listener))
+                        .addLast(new IncomingHandler(listener, accepted));
+            }
+        };
+    }
+
+    private void removeConnection(DaemonId peer) {
+        OutgoingPeer removed = outgoing.remove(peer);
+        if (removed != null) {
+            removed.close();
+        }
+    }
+
+    /**
+     * What the link has sent.
+     *
+     * @param messages frames
+     * @param bytes their payloads, in bytes
+     */
+    public record LinkTotals(long messages, long bytes) {}
+}
