Read service files, publish them, load them

Cause: daemons and the command line need checked configuration.

Change: a reader for service files. The INI library gives the values, a scan of the lines gives what the library does not: line numbers, duplicates, and a refusal of quotes, continued lines and references to the environment. Faults carry file, line, key and the accepted form. The publisher stores files under their digests and swaps the head; it rebases over disjoint publishes, refuses overlapping ones by name, and settles a lost answer from the head's history. The loader reads only the files that a daemon lacks and never goes back.

--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/config/BlobId.java
@@ -0,0 +1,42 @@
+package org.crocusgrade.core.config;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Objects;
+import java.util.regex.Pattern;
+
+/** Names a stored service file by the SHA-256 of its bytes, in hexadecimal. */
+public record BlobId(String value) implements Comparable<BlobId> {
+    private static final Pattern FORM = Pattern.compile("[0-9a-f]{64}");
+
+    /** Checks the text. */
+    public BlobId {
+        Objects.requireNonNull(value, "blob id");
+        if (!FORM.matcher(value).matches()) {
+            throw new IllegalArgumentException("blob id must be 64 hexadecimal digits");
+        }
+    }
+
+    /** Returns the id of a file's text. */
+    public static BlobId of(String text) {
+        try {
+            byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+            byte[] digest = MessageDigest.getInstance("SHA-256").digest(bytes);
+            return new BlobId(HexFormat.of().formatHex(digest));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java runtime has SHA-256", e);
+        }
+    }
+
+    @Override
+    public int compareTo(BlobId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/config/ConfigHead.java
@@ -0,0 +1,85 @@
+package org.crocusgrade.core.config;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.crocusgrade.core.id.ConfigVersion;
+import org.crocusgrade.core.id.PublishId;
+import org.crocusgrade.core.id.ServiceId;
+
+/**
+ * The entry {@code config/head}: which stored file each service has, and the latest publishes.
+ *
+ * @param version only grows
+ * @param publish the publish that made it
+ * @param services each service's stored file
+ * @param history the latest publishes, newest first, the one that made this head included
+ */
+public record ConfigHead(
+        ConfigVersion version,
+        PublishId publish,
+        Map<ServiceId, BlobId> services,
+        List<PublishRecord> history) {
+    /** The entry's key. */
+    public static final String KEY = "config/head";
+
+    /** Publishes kept in the history. */
+    public static final int HISTORY = 32;
+
+    /** The head before the first publish. */
+    public static final ConfigHead NONE =
+            new ConfigHead(ConfigVersion.NONE, FleetConfig.EMPTY.publish(), Map.of(), List.of());
+
+    /** Checks the fields and copies the collections. */
+    public ConfigHead {
+        Objects.requireNonNull(version);
+        Objects.requireNonNull(publish);
+        services = java.util.Collections.unmodifiableMap(new TreeMap<>(services));
+        history = List.copyOf(history);
+    }
+
+    /** Returns the key of a stored file. */
+    public static String blobKey(BlobId blob) {
+        return "config/blob/" + blob;
+    }
+
+    /** Returns the file of a service, if it has one. */
+    public Optional<BlobId> blob(ServiceId service) {
+        return Optional.ofNullable(services.get(service));
+    }
+
+    /** Returns the publish that made a version, if the history still has it. */
+    public Optional<PublishRecord> made(ConfigVersion wanted) {
+        return history.stream().filter(r -> r.version().equals(wanted)).findFirst();
+    }
+
+    /** Returns the record of a publish, if the history still has it. */
+    public Optional<PublishRecord> find(PublishId wanted) {
+        return history.stream().filter(r -> r.publish().equals(wanted)).findFirst();
+    }
+
+    /** Returns the latest publish that changed a service, if the history still has it. */
+    public Optional<PublishRecord> lastChange(ServiceId service) {
+        return history.stream().filter(r -> r.changed().contains(service)).findFirst();
+    }
+
+    /** Returns the head that follows with other services. */
+    public ConfigHead next(PublishId id, Instant at, Map<ServiceId, BlobId> replaced) {
+        List<ServiceId> changed = new ArrayList<>();
+        TreeMap<ServiceId, BlobId> all = new TreeMap<>(services);
+        all.putAll(replaced);
+        for (ServiceId service : all.keySet()) {
+            if (!Objects.equals(services.get(service), replaced.get(service))) {
+                changed.add(service);
+            }
+        }
+        List<PublishRecord> records = new ArrayList<>();
+        records.add(new PublishRecord(version.next(), id, at, changed));
+        records.addAll(history.subList(0, Math.min(history.size(), HISTORY - 1)));
+        return new ConfigHead(version.next(), id, replaced, records);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/config/ConfigLoader.java
@@ -0,0 +1,92 @@
+package org.crocusgrade.core.config;
+
+import io.smallrye.mutiny.Multi;
+import io.smallrye.mutiny.Uni;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.crocusgrade.core.port.KeyValueStore;
+import org.crocusgrade.core.port.StoreEntry;
+
+/** Loads the configuration from the platform's service, reading only the files not held yet. */
+public final class ConfigLoader {
+    private static final int CONCURRENT_READS = 4;
+
+    private final KeyValueStore store;
+
+    /** Makes a loader. */
+    public ConfigLoader(KeyValueStore store) {
+        this.store = store;
+    }
+
+    /**
+     * A bundle with the revision of the head that it was read from.
+     *
+     * @param bundle the configuration
+     * @param revision the head's revision, or {@link KeyValueStore#ABSENT}
+     */
+    public record Loaded(ConfigBundle bundle, long revision) {}
+
+    /** Reads what the store holds now, whatever its version. */
+    public Uni<Loaded> load(ConfigBundle held) {
+        return store.get(ConfigHead.KEY).chain(head -> load(head, held));
+    }
+
+    /** Reads what the store holds; answers the held bundle unless the store's is newer. */
+    public Uni<ConfigBundle> newer(ConfigBundle held) {
+        return store.get(ConfigHead.KEY).chain(head -> newer(head, held));
+    }
+
+    /** As {@link #newer(ConfigBundle)}, with a head that a watch has brought. */
+    public Uni<ConfigBundle> newer(Optional<StoreEntry> entry, ConfigBundle held) {
+        if (entry.isEmpty()) {
+            return Uni.createFrom().item(held);
+        }
+        try {
+            ConfigHead head = ConfigHeadCodec.read(entry.get().value());
+            if (head.version().compareTo(held.head().version()) <= 0) {
+                return Uni.createFrom().item(held);
+            }
+        } catch (ConfigException e) {
+            return Uni.createFrom().failure(e);
+        }
+        return load(entry, held).map(Loaded::bundle);
+    }
+
+    private Uni<Loaded> load(Optional<StoreEntry> entry, ConfigBundle held) {
+        if (entry.isEmpty()) {
+            return Uni.createFrom().item(new Loaded(ConfigBundle.EMPTY, KeyValueStore.ABSENT));
+        }
+        ConfigHead head;
+        try {
+            head = ConfigHeadCodec.read(entry.get().value());
+        } catch (ConfigException e) {
+            return Uni.createFrom().failure(e);
+        }
+        List<BlobId> lacking = new ArrayList<>(held.lacks(head));
+        return Multi.createFrom()
+                .iterable(lacking)
+                .onItem()
+                .transformToUni(blob -> store.get(ConfigHead.blobKey(blob)))
+                .merge(CONCURRENT_READS)
+                .collect()
+                .asList()
+                .chain(found -> assemble(head, found, held))
+                .map(bundle -> new Loaded(bundle, entry.get().revision()));
+    }
+
+    private static Uni<ConfigBundle> assemble(
+            ConfigHead head, List<Optional<StoreEntry>> found, ConfigBundle held) {
+        Map<BlobId, String> files = new HashMap<>();
+        for (Optional<StoreEntry> file : found) {
+            file.ifPresent(f -> files.put(BlobId.of(f.text()), f.text()));
+        }
+        try {
+            return Uni.createFrom().item(ConfigBundle.assemble(head, files, held));
+        } catch (ConfigException e) {
+            return Uni.createFrom().failure(e);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/config/FleetRules.java
@@ -0,0 +1,121 @@
+package org.crocusgrade.core.config;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.crocusgrade.core.id.PoolId;
+import org.crocusgrade.core.id.ServiceId;
+
+/** The rules between the files of all services. */
+public final class FleetRules {
+    /** Most services of one deployment. */
+    public static final int MAX_SERVICES = 1_000;
+
+    private final List<NamedService> services;
+    private final Problems problems = new Problems("");
+
+    private FleetRules(List<NamedService> services) {
+        this.services = List.copyOf(services);
+    }
+
+    /**
+     * One service with the file that describes it.
+     *
+     * @param file the file's name, for messages
+     * @param config the checked file
+     */
+    public record NamedService(String file, ServiceConfig config) {}
+
+    /**
+     * Checks all services together.
+     *
+     * @return the warnings
+     * @throws ConfigException with every fault, if one refuses the configuration
+     */
+    public static List<ConfigProblem> check(List<NamedService> services) throws ConfigException {
+        FleetRules rules = new FleetRules(services);
+        rules.checkCount();
+        rules.checkNames();
+        rules.checkPools();
+        rules.checkSizes();
+        rules.problems.check();
+        return rules.problems.list();
+    }
+
+    private void checkCount() {
+        if (services.size() > MAX_SERVICES) {
+            problems.add(
+                    ConfigMessage.TOO_MANY_SERVICES,
+                    0,
+                    "",
+                    "at most " + MAX_SERVICES,
+                    services.size());
+        }
+    }
+
+    private void checkNames() {
+        Map<ServiceId, String> files = new HashMap<>();
+        for (NamedService s : services) {
+            String before = files.putIfAbsent(s.config().service(), s.file());
+            if (before != null) {
+                problems.addFor(
+                        s.file(),
+                        ConfigMessage.DUPLICATE_SERVICE,
+                        "[service] name",
+                        "each service once",
+                        s.config().service(),
+                        before);
+            }
+        }
+    }
+
+    private void checkPools() {
+        Map<PoolId, ServiceId> owners = new HashMap<>();
+        for (NamedService s : services) {
+            ServiceId before = owners.putIfAbsent(s.config().pool(), s.config().service());
+            if (before != null && !before.equals(s.config().service())) {
+                problems.addFor(
+                        s.file(),
+                        ConfigMessage.POOL_TAKEN,
+                        "[service] pool",
+                        "a pool of the service's own",
+                        s.config().pool(),
+                        before);
+            }
+        }
+        Set<PoolId> pools = new HashSet<>(owners.keySet());
+        for (NamedService s : services) {
+            for (PoolId lender : s.config().capacity().borrowFrom()) {
+                if (!pools.contains(lender)) {
+                    problems.addFor(
+                            s.file(),
+                            ConfigMessage.UNKNOWN_POOL,
+                            "[capacity] borrow-from",
+                            String.join(", ", pools.stream().sorted().map(PoolId::value).toList()),
+                            lender);
+                }
+            }
+        }
+    }
+
+    private void checkSizes() {
+        int usual = 0;
+        for (NamedService s : services) {
+            usual += s.config().capacity().usualWorkers();
+        }
+        for (NamedService s : services) {
+            int max = s.config().capacity().maxWorkers();
+            if (max > usual) {
+                problems.addFor(
+                        s.file(),
+                        ConfigMessage.MAX_OVER_FLEET,
+                        "[capacity] max-workers",
+                        "",
+                        max,
+                        usual);
+            }
+        }
+    }
+}
--- a/core/src/main/java/org/crocusgrade/core/config/ServiceConfig.java
+++ b/core/src/main/java/org/crocusgrade/core/config/ServiceConfig.java
@@ -72,8 +72,29 @@
      * @param usualWorkers with ordinary demand
      * @param maxWorkers never more than this
      * @param spare whether the pool lends its workers first
+     * @param borrowFrom the pools whose workers it may take; when empty, those of every pool
      */
-    public record Capacity(int minWorkers, int usualWorkers, int maxWorkers, boolean spare) {}
+    public record Capacity(
+            int minWorkers,
+            int usualWorkers,
+            int maxWorkers,
+            boolean spare,
+            List<PoolId> borrowFrom) {
+        /** Copies the list. */
+        public Capacity {
+            borrowFrom = List.copyOf(borrowFrom);
+        }
+
+        /** Makes a capacity that may be filled from every pool. */
+        public Capacity(int minWorkers, int usualWorkers, int maxWorkers, boolean spare) {
+            this(minWorkers, usualWorkers, maxWorkers, spare, List.of());
+        }
+
+        /** Returns whether workers of the pool may be taken. */
+        public boolean mayBorrowFrom(PoolId lender) {
+            return borrowFrom.isEmpty() || borrowFrom.contains(lender);
+        }
+    }
 
     /**
      * The availability budget: while maintenance and moves go on, the pool keeps at least this.
--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/config/ServiceFileReader.java
@@ -0,0 +1,217 @@
+package org.crocusgrade.core.config;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.crocusgrade.core.config.ServiceConfig.Budget;
+import org.crocusgrade.core.config.ServiceConfig.Capacity;
+import org.crocusgrade.core.config.ServiceConfig.Maintenance;
+import org.crocusgrade.core.config.ServiceConfig.Needs;
+import org.crocusgrade.core.config.ServiceConfig.PathRule;
+import org.crocusgrade.core.config.ServiceConfig.Quota;
+import org.crocusgrade.core.id.CustomerId;
+import org.crocusgrade.core.id.PoolId;
+import org.crocusgrade.core.id.ServiceId;
+
+/** Reads one service's file. */
+public final class ServiceFileReader {
+    /** Largest service file, in bytes. */
+    public static final int MAX_FILE_BYTES = IniReader.MAX_FILE_BYTES;
+
+    private static final int MAX_WORKERS = 10_000;
+    private static final int MAX_QUEUE = 100_000;
+    private static final int MAX_SLOTS = 100_000;
+    private static final int MAX_POOLS_NAMED = 100;
+    private static final int MAX_PATHS = 256;
+    private static final int MAX_QUOTAS = 4_096;
+
+    private static final ValueForm<Integer> WORKERS = ValueForms.integer(1, MAX_WORKERS);
+    private static final ValueForm<Duration> REQUEST_TIME =
+            ValueForms.duration(Duration.ofMillis(1), Duration.ofDays(1));
+    private static final Pattern PATH_RULE = Pattern.compile("([A-Z]{1,16}|\\*) +(/[^ ]*)");
+    private static final String PATH_RULE_FORM =
+            "METHOD /path = idempotent or not-idempotent; * for any method";
+
+    private final IniDocument doc;
+    private final Problems problems;
+
+    private ServiceFileReader(IniDocument doc, Problems problems) {
+        this.doc = doc;
+        this.problems = problems;
+    }
+
+    /** Reads a file's text; the exception carries every fault found. */
+    public static ServiceConfig read(String file, String text) throws ConfigException {
+        return read(file, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Reads a file's bytes; the exception carries every fault found. */
+    public static ServiceConfig read(String file, byte[] content) throws ConfigException {
+        Problems problems = new Problems(file);
+        IniDocument doc = IniDocument.read(content, problems);
+        return new ServiceFileReader(doc, problems).readAll();
+    }
+
+    private ServiceConfig readAll() throws ConfigException {
+        ServiceId service = required("service", "name", ValueForms.id(ServiceId::new));
+        PoolId pool = required("service", "pool", ValueForms.id(PoolId::new));
+        ServiceClass serviceClass = required("service", "class", classes());
+        Duration deadline = required("service", "deadline", REQUEST_TIME);
+        Duration runTime = required("service", "run-time", REQUEST_TIME);
+        Integer queueBound = required("service", "queue-bound", ValueForms.integer(1, MAX_QUEUE));
+        Boolean cancelRunning = optional("service", "cancel-running", ValueForms.yesNo(), false);
+        Boolean keyRequired = optional("service", "key-required", ValueForms.yesNo(), false);
+        Needs needs = needs();
+        Capacity capacity = capacity();
+        Budget budget = budget();
+        Maintenance maintenance = maintenance();
+        List<PathRule> paths = paths();
+        Map<CustomerId, Quota> quotas = quotas();
+        doc.refuseRest(problems);
+        problems.check();
+        ServiceConfig config =
+                new ServiceConfig(
+                        service,
+                        pool,
+                        serviceClass,
+                        deadline,
+                        runTime,
+                        queueBound,
+                        needs,
+                        capacity,
+                        budget,
+                        maintenance,
+                        cancelRunning,
+                        keyRequired,
+                        paths,
+                        quotas);
+        ServiceRules.check(config, doc, problems);
+        problems.check();
+        return config;
+    }
+
+    private Needs needs() {
+        Integer cores = required("needs", "cores", ValueForms.integer(1, 4_096));
+        Long memory = required("needs", "memory", ValueForms.size(1L << 20, 1L << 46));
+        Integer accelerators = optional("needs", "accelerators", ValueForms.integer(0, 64), 0);
+        if (cores == null || memory == null || accelerators == null) {
+            return null;
+        }
+        return new Needs(cores, memory, accelerators);
+    }
+
+    private Capacity capacity() {
+        Integer min = required("capacity", "min-workers", WORKERS);
+        Integer usual = required("capacity", "usual-workers", WORKERS);
+        Integer max = required("capacity", "max-workers", WORKERS);
+        Boolean spare = optional("capacity", "spare", ValueForms.yesNo(), false);
+        List<PoolId> lenders =
+                optional(
+                        "capacity",
+                        "borrow-from",
+                        ValueForms.list(ValueForms.id(PoolId::new), MAX_POOLS_NAMED),
+                        List.of());
+        if (min == null || usual == null || max == null || spare == null || lenders == null) {
+            return null;
+        }
+        return new Capacity(min, usual, max, spare, lenders);
+    }
+
+    private Budget budget() {
+        Integer down = required("budget", "max-unavailable", WORKERS);
+        Integer zones = optional("budget", "max-unavailable-zones", ValueForms.integer(1, 100), 1);
+        return down == null || zones == null ? null : new Budget(down, zones);
+    }
+
+    private Maintenance maintenance() {
+        Duration every =
+                required(
+                        "maintenance",
+                        "every",
+                        ValueForms.duration(Duration.ofHours(1), Duration.ofDays(365)));
+        Duration drain =
+                required(
+                        "maintenance",
+                        "max-drain",
+                        ValueForms.duration(Duration.ofSeconds(1), Duration.ofDays(2)));
+        Boolean yield = optional("maintenance", "yield-to-surge", ValueForms.yesNo(), true);
+        if (every == null || drain == null || yield == null) {
+            return null;
+        }
+        return new Maintenance(every, drain, yield);
+    }
+
+    private List<PathRule> paths() {
+        List<PathRule> rules = new ArrayList<>();
+        ValueForm<Boolean> form =
+                ValueForms.word(words("idempotent", true, "not-idempotent", false));
+        for (IniEntry entry : doc.openSection("paths")) {
+            Matcher m = PATH_RULE.matcher(entry.key());
+            if (!m.matches() || rules.size() >= MAX_PATHS) {
+                refuseKey(
+                        m.matches() ? ConfigMessage.OUT_OF_RANGE : ConfigMessage.BAD_VALUE,
+                        entry,
+                        PATH_RULE_FORM + "; at most " + MAX_PATHS);
+                continue;
+            }
+            Boolean idempotent = IniDocument.parse(entry, form, problems);
+            if (idempotent != null) {
+                rules.add(new PathRule(m.group(1), m.group(2), idempotent));
+            }
+        }
+        return rules;
+    }
+
+    private Map<CustomerId, Quota> quotas() {
+        Map<CustomerId, Quota> quotas = new LinkedHashMap<>();
+        ValueForm<CustomerId> name = ValueForms.id(CustomerId::new);
+        for (IniEntry entry : doc.openSection("quotas")) {
+            Integer slots = IniDocument.parse(entry, ValueForms.integer(1, MAX_SLOTS), problems);
+            if (quotas.size() >= MAX_QUOTAS) {
+                refuseKey(ConfigMessage.OUT_OF_RANGE, entry, "at most " + MAX_QUOTAS + " quotas");
+                break;
+            }
+            try {
+                CustomerId customer = name.parse(entry.key());
+                if (slots != null) {
+                    quotas.put(customer, new Quota(slots));
+                }
+            } catch (ValueException e) {
+                refuseKey(e.reason(), entry, name.accepted());
+            }
+        }
+        return quotas;
+    }
+
+    private void refuseKey(ConfigMessage message, IniEntry entry, String accepted) {
+        problems.add(message, entry.line(), entry.label(), accepted, Problems.shown(entry.key()));
+    }
+
+    private <T> T required(String section, String key, ValueForm<T> form) {
+        return doc.required(section, key, form, problems);
+    }
+
+    private <T> T optional(String section, String key, ValueForm<T> form, T absent) {
+        return doc.optional(section, key, form, absent, problems);
+    }
+
+    private static ValueForm<ServiceClass> classes() {
+        Map<String, ServiceClass> words = new LinkedHashMap<>();
+        for (ServiceClass value : ServiceClass.values()) {
+            words.put(value.word, value);
+        }
+        return ValueForms.word(words);
+    }
+
+    private static <T> Map<String, T> words(String first, T a, String second, T b) {
+        Map<String, T> words = new LinkedHashMap<>();
+        words.put(first, a);
+        words.put(second, b);
+        return words;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/config/ValueForm.java
@@ -0,0 +1,10 @@
+package org.crocusgrade.core.config;
+
+/** The form that a key's value must have. */
+public interface ValueForm<T> {
+    /** Reads the value. */
+    T parse(String text) throws ValueException;
+
+    /** Describes the values that are valid, with an example where it helps. */
+    String accepted();
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/config/ValueForms.java
@@ -0,0 +1,236 @@
+package org.crocusgrade.core.config;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** The forms of values in service files and settings. */
+public final class ValueForms {
+    private static final Pattern NUMBER = Pattern.compile("[0-9]{1,15}");
+    private static final Pattern QUANTITY = Pattern.compile("([0-9]{1,12})([A-Za-z]{0,3})");
+    private static final Pattern IPV4 =
+            Pattern.compile("([0-9]{1,3}\\.[0-9]{1,3}\\.[0-9]{1,3}\\.[0-9]{1,3}):([0-9]{1,5})");
+    private static final Pattern IPV6 = Pattern.compile("\\[([0-9A-Fa-f:.]{2,45})\\]:([0-9]{1,5})");
+    private static final Pattern HEX = Pattern.compile("(?:[0-9A-Fa-f]{2})+");
+    private static final int MAX_PORT = 65535;
+
+    private static final Map<String, Duration> TIME_UNITS = new LinkedHashMap<>();
+    private static final Map<String, Long> SIZE_UNITS = new LinkedHashMap<>();
+
+    static {
+        TIME_UNITS.put("ms", Duration.ofMillis(1));
+        TIME_UNITS.put("s", Duration.ofSeconds(1));
+        TIME_UNITS.put("min", Duration.ofMinutes(1));
+        TIME_UNITS.put("h", Duration.ofHours(1));
+        TIME_UNITS.put("d", Duration.ofDays(1));
+        SIZE_UNITS.put("B", 1L);
+        SIZE_UNITS.put("KiB", 1L << 10);
+        SIZE_UNITS.put("MiB", 1L << 20);
+        SIZE_UNITS.put("GiB", 1L << 30);
+        SIZE_UNITS.put("TiB", 1L << 40);
+    }
+
+    private ValueForms() {}
+
+    private record Form<T>(String accepted, Parser<T> parser) implements ValueForm<T> {
+        @Override
+        public T parse(String text) throws ValueException {
+            return parser.parse(text);
+        }
+    }
+
+    private interface Parser<T> {
+        T parse(String text) throws ValueException;
+    }
+
+    /** A whole number within bounds. */
+    public static ValueForm<Integer> integer(int min, int max) {
+        return new Form<>(
+                "a whole number from " + min + " to " + max,
+                text -> {
+                    if (!NUMBER.matcher(text).matches()) {
+                        throw new ValueException(ConfigMessage.BAD_VALUE);
+                    }
+                    long value = Long.parseLong(text);
+                    if (value < min || value > max) {
+                        throw new ValueException(ConfigMessage.OUT_OF_RANGE);
+                    }
+                    return (int) value;
+                });
+    }
+
+    /** A duration with its unit, within bounds. */
+    public static ValueForm<Duration> duration(Duration min, Duration max) {
+        String accepted =
+                "a duration from %s to %s with its unit (%s)"
+                        .formatted(show(min), show(max), String.join(", ", TIME_UNITS.keySet()));
+        return new Form<>(
+                accepted,
+                text -> {
+                    Matcher m = quantity(text);
+                    Duration unit = TIME_UNITS.get(m.group(2));
+                    if (unit == null) {
+                        throw new ValueException(ConfigMessage.WRONG_UNIT);
+                    }
+                    Duration value = unit.multipliedBy(Long.parseLong(m.group(1)));
+                    if (value.compareTo(min) < 0 || value.compareTo(max) > 0) {
+                        throw new ValueException(ConfigMessage.OUT_OF_RANGE);
+                    }
+                    return value;
+                });
+    }
+
+    /** A size in bytes with its unit, within bounds. */
+    public static ValueForm<Long> size(long min, long max) {
+        String accepted =
+                "a size from %s to %s with its unit (%s)"
+                        .formatted(
+                                showSize(min),
+                                showSize(max),
+                                String.join(", ", SIZE_UNITS.keySet()));
+        return new Form<>(
+                accepted,
+                text -> {
+                    Matcher m = quantity(text);
+                    Long unit = SIZE_UNITS.get(m.group(2));
+                    if (unit == null) {
+                        throw new ValueException(ConfigMessage.WRONG_UNIT);
+                    }
+                    long count = Long.parseLong(m.group(1));
+                    if (count > max / unit || count * unit < min) {
+                        throw new ValueException(ConfigMessage.OUT_OF_RANGE);
+                    }
+                    return count * unit;
+                });
+    }
+
+    /** One of some words. */
+    public static <T> ValueForm<T> word(Map<String, T> words) {
+        Map<String, T> copy = new LinkedHashMap<>(words);
+        return new Form<>(
+                String.join(" or ", copy.keySet()),
+                text -> {
+                    T value = copy.get(text);
+                    if (value == null) {
+                        throw new ValueException(ConfigMessage.BAD_VALUE);
+                    }
+                    return value;
+                });
+    }
+
+    /** {@code yes} or {@code no}. */
+    public static ValueForm<Boolean> yesNo() {
+        Map<String, Boolean> words = new LinkedHashMap<>();
+        words.put("yes", true);
+        words.put("no", false);
+        return word(words);
+    }
+
+    /** An id, made by a value type that throws when the text is no name. */
+    public static <T> ValueForm<T> id(Function<String, T> type) {
+        return new Form<>(
+                "a name of 1 to 128 letters, digits, dots, dashes or underscores",
+                text -> {
+                    try {
+                        return type.apply(text);
+                    } catch (IllegalArgumentException e) {
+                        throw new ValueException(ConfigMessage.BAD_VALUE);
+                    }
+                });
+    }
+
+    /** A list of values with commas between them. */
+    public static <T> ValueForm<List<T>> list(ValueForm<T> each, int max) {
+        return new Form<>(
+                "up to " + max + " with commas between them, each " + each.accepted(),
+                text -> {
+                    String[] parts = text.split(",", -1);
+                    if (parts.length > max) {
+                        throw new ValueException(ConfigMessage.OUT_OF_RANGE);
+                    }
+                    List<T> values = new ArrayList<>();
+                    for (String part : parts) {
+                        values.add(each.parse(part.strip()));
+                    }
+                    return List.copyOf(values);
+                });
+    }
+
+    /** An IP number with a port; names are not looked up. */
+    public static ValueForm<InetSocketAddress> address() {
+        return new Form<>("an IP number and port, such as 10.0.0.1:7400", ValueForms::socket);
+    }
+
+    /** Bytes in hexadecimal digits, at least so many. */
+    public static ValueForm<byte[]> hex(int minBytes, int maxBytes) {
+        return new Form<>(
+                "%d to %d hexadecimal digits".formatted(2 * minBytes, 2 * maxBytes),
+                text -> {
+                    if (!HEX.matcher(text).matches()) {
+                        throw new ValueException(ConfigMessage.BAD_VALUE);
+                    }
+                    if (text.length() < 2 * minBytes || text.length() > 2 * maxBytes) {
+                        throw new ValueException(ConfigMessage.OUT_OF_RANGE);
+                    }
+                    return java.util.HexFormat.of().parseHex(text);
+                });
+    }
+
+    /** Returns a duration as a file would have it, in the largest unit that divides it. */
+    public static String show(Duration value) {
+        String text = value.toMillis() + "ms";
+        for (Map.Entry<String, Duration> unit : TIME_UNITS.entrySet()) {
+            long millis = unit.getValue().toMillis();
+            if (value.toMillis() % millis == 0) {
+                text = value.toMillis() / millis + unit.getKey();
+            }
+        }
+        return text;
+    }
+
+    /** Returns a size as a file would have it, in the largest unit that divides it. */
+    public static String showSize(long bytes) {
+        String text = bytes + "B";
+        for (Map.Entry<String, Long> unit : SIZE_UNITS.entrySet()) {
+            if (bytes % unit.getValue() == 0) {
+                text = bytes / unit.getValue() + unit.getKey();
+            }
+        }
+        return text;
+    }
+
+    private static Matcher quantity(String text) throws ValueException {
+        Matcher m = QUANTITY.matcher(text);
+        if (!m.matches()) {
+            throw new ValueException(ConfigMessage.BAD_VALUE);
+        }
+        return m;
+    }
+
+    private static InetSocketAddress socket(String text) throws ValueException {
+        Matcher m = IPV4.matcher(text);
+        if (!m.matches()) {
+            m = IPV6.matcher(text);
+        }
+        if (!m.matches()) {
+            throw new ValueException(ConfigMessage.BAD_VALUE);
+        }
+        int port = Integer.parseInt(m.group(2));
+        if (port > MAX_PORT) {
+            throw new ValueException(ConfigMessage.OUT_OF_RANGE);
+        }
+        try {
+            return new InetSocketAddress(InetAddress.getByName(m.group(1)), port);
+        } catch (UnknownHostException e) {
+            throw new ValueException(ConfigMessage.BAD_VALUE);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/crocusgrade/core/config/PublisherTest.java
@@ -0,0 +1,255 @@
+package org.crocusgrade.core.config;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.smallrye.mutiny.Uni;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletionException;
+import org.crocusgrade.core.config.FakeStore.Fault;
+import org.crocusgrade.core.config.PublishException.Kind;
+import org.crocusgrade.core.id.PublishId;
+import org.crocusgrade.core.id.ServiceId;
+import org.crocusgrade.core.port.Clock;
+import org.crocusgrade.core.port.StoreEntry;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Publishes that race each other, lose answers, or meet a store that is down. */
+class PublisherTest {
+    private final FakeStore store = new FakeStore();
+    private final Publisher publisher = new Publisher(store, Clock.system());
+
+    @BeforeEach
+    void publishTwoServices() throws Exception {
+        publish("first", change("a", 1, "b", 1), ConfigHead.NONE);
+    }
+
+    @Test
+    void disjointServicesRebase() throws Exception {
+        ConfigHead base = head();
+        store.beforeSwap = () -> quietly("other", change("a", 2), base);
+        assertThat(publish("mine", change("b", 2), base).rebased(), is(1));
+        assertThat(head().version().value(), is(3L));
+        assertThat(deadline("a"), is(1002L));
+        assertThat(deadline("b"), is(1002L));
+    }
+
+    @Test
+    void sameServiceIsRefusedWithTheOtherPublish() throws Exception {
+        ConfigHead base = head();
+        store.beforeSwap = () -> quietly("other", change("b", 3), base);
+        PublishException e = refused("mine", change("b", 2), base);
+        assertThat(e.kind(), is(Kind.OVERTAKEN));
+        assertThat(e.getMessage(), containsString("service b"));
+        assertThat(e.getMessage(), containsString("publish other (version 2)"));
+        assertThat(deadline("b"), is(1003L));
+    }
+
+    @Test
+    void lostAnswerAfterTheWriteIsReadBack() throws Exception {
+        store.faults.add(Fault.LOST_AFTER_WRITE);
+        assertThat(publish("mine", change("b", 2), head()).version().value(), is(2L));
+        assertThat(store.writes.stream().filter(ConfigHead.KEY::equals).count(), is(2L));
+    }
+
+    @Test
+    void lostAnswerIsReadBackAlsoWhenOthersFollowed() throws Exception {
+        ConfigHead base = head();
+        store.faults.add(Fault.LOST_AFTER_WRITE);
+        store.readsDown =
+                key -> {
+                    if (key.equals(ConfigHead.KEY) && store.writes.size() == 5) {
+                        store.readsDown = k -> false;
+                        quietly("later", change("a", 7), head());
+                    }
+                    return false;
+                };
+        assertThat(publish("mine", change("b", 2), base).version().value(), is(2L));
+        assertThat(head().version().value(), is(3L));
+        assertThat(deadline("b"), is(1002L));
+    }
+
+    @Test
+    void lateWriteAndSecondWriteTakeEffectOnce() throws Exception {
+        store.faults.add(Fault.LOST_AND_LATE);
+        store.faults.add(Fault.LOST_AND_LATE);
+        ConfigHead base = head();
+        store.beforeSwap = () -> store.beforeSwap = store::deliverLate;
+        assertThat(publish("mine", change("b", 2), base).version().value(), is(2L));
+        store.deliverLate();
+        assertThat(head().version().value(), is(2L));
+    }
+
+    @Test
+    void storeLostBeforeReadingBackIsUnresolved() throws Exception {
+        ConfigHead base = head();
+        store.faults.add(Fault.LOST_BEFORE_WRITE);
+        store.beforeSwap = () -> store.readsDown = key -> true;
+        assertThat(refused("mine", change("b", 2), base).kind(), is(Kind.UNRESOLVED));
+    }
+
+    @Test
+    void storeDownBeforeTheSwapChangesNothing() throws Exception {
+        ConfigHead base = head();
+        store.faults.add(Fault.UNREACHED);
+        assertThat(refused("mine", change("b", 2), base).kind(), is(Kind.STORE_FAILED));
+        assertThat(head().version().value(), is(1L));
+    }
+
+    @Test
+    void unreachedAfterALostAnswerIsUnresolved() throws Exception {
+        store.faults.add(Fault.LOST_AND_LATE);
+        store.faults.add(Fault.UNREACHED);
+        ConfigHead base = head();
+        assertThat(refused("mine", change("b", 2), base).kind(), is(Kind.UNRESOLVED));
+        store.deliverLate();
+        assertThat(deadline("b"), is(1002L));
+    }
+
+    @Test
+    void sameTextAgainMakesNoVersion() throws Exception {
+        assertThat(publish("mine", change("b", 1), head()).changed(), is(false));
+        assertThat(head().version().value(), is(1L));
+    }
+
+    @Test
+    void removedServiceIsGoneAndItsPoolIsFree() throws Exception {
+        publish("mine", new ConfigChange(Map.of(), Set.of(new ServiceId("a"))), head());
+        assertThat(head().services().keySet(), equalTo(Set.of(new ServiceId("b"))));
+    }
+
+    @Test
+    void alteredFileIsRefusedByTheLoader() throws Exception {
+        String key = ConfigHead.blobKey(head().blob(new ServiceId("a")).orElseThrow());
+        store.entries.put(key, new StoreEntry(key, 99, Texts.service("a", 9).getBytes()));
+        ConfigException e = assertThrows(ConfigException.class, this::head);
+        assertThat(e.problems().get(0).message(), is(ConfigMessage.DIGEST_MISMATCH));
+    }
+
+    /** Seeded races with faults: versions grow by one, and acknowledged publishes stay. */
+    @Test
+    void racesNeverLoseAnAcknowledgedPublish() throws Exception {
+        Random random = new Random(7);
+        Fault[] kinds = Fault.values();
+        for (int i = 0; i < 300; i++) {
+            ConfigHead base = head();
+            int n = i;
+            for (int f = random.nextInt(4); f > 0; f--) {
+                store.faults.add(kinds[random.nextInt(kinds.length)]);
+            }
+            if (random.nextBoolean()) {
+                store.beforeSwap = () -> quietly("other-" + n, change("a", n + 10), base);
+            }
+            String outcome = outcome("mine-" + i, change("b", i + 10), base);
+            store.faults.clear();
+            boolean before = deadline("b") == 1010 + i;
+            store.deliverLate();
+            boolean after = deadline("b") == 1010 + i;
+            if (outcome.equals("done")) {
+                assertThat(before, is(true));
+            } else if (!outcome.equals(Kind.UNRESOLVED.code)) {
+                assertThat("run " + i + " " + outcome, after, is(false));
+            }
+            assertThat(head().version().compareTo(base.version()) >= 0, is(true));
+            assertThat(versions(head()), equalTo(sequence(head())));
+        }
+    }
+
+    private static List<Long> versions(ConfigHead head) {
+        return head.history().stream().map(r -> r.version().value()).toList();
+    }
+
+    private static List<Long> sequence(ConfigHead head) {
+        List<Long> all = new ArrayList<>();
+        for (int i = 0; i < head.history().size(); i++) {
+            all.add(head.version().value() - i);
+        }
+        return all;
+    }
+
+    private String outcome(String id, ConfigChange change, ConfigHead base) throws Exception {
+        try {
+            publish(id, change, base);
+            return "done";
+        } catch (PublishException e) {
+            return e.kind().code;
+        }
+    }
+
+    private void quietly(String id, ConfigChange change, ConfigHead base) {
+        Runnable hook = store.beforeSwap;
+        List<Fault> faults = List.copyOf(store.faults);
+        store.faults.clear();
+        publisher.publish(new PublishId(id), change, base).await().indefinitely();
+        store.faults.addAll(faults);
+        store.beforeSwap = hook;
+    }
+
+    private Publisher.Result publish(String id, ConfigChange change, ConfigHead base)
+            throws Exception {
+        return await(publisher.publish(new PublishId(id), change, base));
+    }
+
+    private PublishException refused(String id, ConfigChange change, ConfigHead base) {
+        PublishException e = assertThrows(PublishException.class, () -> publish(id, change, base));
+        store.readsDown = key -> false;
+        return e;
+    }
+
+    private ConfigHead head() {
+        return bundle().head();
+    }
+
+    private long deadline(String service) {
+        return bundle().fleet().services().get(new ServiceId(service)).deadline().toMillis();
+    }
+
+    private ConfigBundle bundle() {
+        return sneak(() -> await(publisher.current()));
+    }
+
+    private static ConfigChange change(Object... serviceAndNumber) {
+        return sneak(
+                () -> {
+                    Map<String, String> texts = new java.util.LinkedHashMap<>();
+                    for (int i = 0; i < serviceAndNumber.length; i += 2) {
+                        String name = (String) serviceAndNumber[i];
+                        int number = (Integer) serviceAndNumber[i + 1];
+                        texts.put(name + ".ini", Texts.service(name, number));
+                    }
+                    return ConfigChange.of(texts, Set.of());
+                });
+    }
+
+    private interface Action<T> {
+        T run() throws Exception;
+    }
+
+    @SuppressWarnings("unchecked")
+    private static <T, E extends Throwable> T sneak(Action<T> action) throws E {
+        try {
+            return action.run();
+        } catch (Exception e) {
+            throw (E) e;
+        }
+    }
+
+    private static <T> T await(Uni<T> uni) throws Exception {
+        try {
+            return uni.await().indefinitely();
+        } catch (CompletionException e) {
+            if (e.getCause() instanceof Exception cause) {
+                throw cause;
+            }
+            throw e;
+        }
+    }
+}
