--- /dev/null
+++ b/standin/src/test/java/org/crocusgrade/standin/ManualClock.java
@@ -0,0 +1,25 @@
+package org.crocusgrade.standin;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.crocusgrade.core.port.Clock;
+
+/** A clock that only moves when told to. */
+public final class ManualClock implements Clock {
+    private long nanos;
+
+    /** Moves the clock on. */
+    public synchronized void advance(Duration by) {
+        nanos += by.toNanos();
+    }
+
+    @Override
+    public synchronized Instant now() {
+        return Instant.EPOCH.plusNanos(nanos);
+    }
+
+    @Override
+    public synchronized long nanoTime() {
+        return nanos;
+    }
+}
