--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/fleet/SlotDemand.java
@@ -0,0 +1,63 @@
+package org.crocusgrade.core.fleet;
+
+import java.util.List;
+import java.util.Objects;
+import org.crocusgrade.core.id.AvailabilityZone;
+import org.crocusgrade.core.id.BootId;
+import org.crocusgrade.core.id.DaemonId;
+import org.crocusgrade.core.id.PoolId;
+
+/**
+ * A daemon's whole statement to one owner: what it wants, holds and runs on the owner's workers. It
+ * renews what it holds; a slot that it knew of and does not state is returned.
+ *
+ * @param from the sender
+ * @param boot the sender's run
+ * @param zone the sender's availability zone
+ * @param sequence grows with each statement of the run to this owner
+ * @param ownerBoot the run of the owner whose answers the sender has processed
+ * @param lastAnswer the highest answer of that run processed so far, 0 for none
+ * @param pools the demand, one entry for each pool with any
+ * @param held the slots with a lease that has not ended
+ * @param running the slots with a request running, with or without a lease
+ */
+public record SlotDemand(
+        DaemonId from,
+        BootId boot,
+        AvailabilityZone zone,
+        long sequence,
+        BootId ownerBoot,
+        long lastAnswer,
+        List<PoolDemand> pools,
+        List<WorkerSlots> held,
+        List<WorkerSlots> running) {
+    /** Checks the fields and copies the lists. */
+    public SlotDemand {
+        Objects.requireNonNull(from);
+        Objects.requireNonNull(boot);
+        Objects.requireNonNull(zone);
+        Objects.requireNonNull(ownerBoot);
+        pools = List.copyOf(pools);
+        held = List.copyOf(held);
+        running = List.copyOf(running);
+        if (sequence <= 0 || lastAnswer < 0) {
+            throw new IllegalArgumentException("sequence must be above 0, answer not negative");
+        }
+    }
+
+    /**
+     * The demand for one pool.
+     *
+     * @param pool the pool
+     * @param wanted the slots that the sender wants to hold from this owner, held ones included
+     */
+    public record PoolDemand(PoolId pool, int wanted) {
+        /** Checks the fields. */
+        public PoolDemand {
+            Objects.requireNonNull(pool);
+            if (wanted < 0) {
+                throw new IllegalArgumentException("wanted slots must not be negative");
+            }
+        }
+    }
+}
