--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/concurrent/package-info.java
@@ -0,0 +1,2 @@
+/** Helpers for work that must run one step at a time. */
+package org.crocusgrade.daemon.concurrent;
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration in force at this daemon. */
+package org.crocusgrade.daemon.configuration;
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/control/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon's view of the fleet and its place among the members. */
+package org.crocusgrade.daemon.control;
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/edge/package-info.java
@@ -0,0 +1,2 @@
+/** Where callers' requests come in and their answers go out. */
+package org.crocusgrade.daemon.edge;
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/metrics/DaemonMetrics.java
@@ -0,0 +1,90 @@
+package org.crocusgrade.daemon.metrics;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import org.crocusgrade.core.dispatch.Reason;
+import org.crocusgrade.core.dispatch.RunEnd;
+import org.crocusgrade.core.id.ServiceId;
+import org.crocusgrade.peer.FrameDropReason;
+
+/** All metrics of the daemon, in a registry of its own. */
+public final class DaemonMetrics {
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Counter answers =
+            Counter.builder()
+                    .name("crocusgrade_answers")
+                    .help("Final answers by service and reason.")
+                    .labelNames("service", "reason")
+                    .register(registry);
+    private final Counter retries =
+            Counter.builder()
+                    .name("crocusgrade_retries")
+                    .help("Attempts tried again, by service and how the attempt before ended.")
+                    .labelNames("service", "end")
+                    .register(registry);
+    private final Counter drops =
+            Counter.builder()
+                    .name("crocusgrade_peer_drops")
+                    .help("Frames and connections between daemons dropped, by reason.")
+                    .labelNames("reason")
+                    .register(registry);
+    private final Gauge configVersion =
+            Gauge.builder()
+                    .name("crocusgrade_config_version")
+                    .help("Version of the configuration in force at this daemon.")
+                    .register(registry);
+    private final Gauge racksOwned =
+            Gauge.builder()
+                    .name("crocusgrade_racks_owned")
+                    .help("Racks that this daemon owns.")
+                    .register(registry);
+
+    /** Counts a final answer. */
+    public void answered(ServiceId service, Reason reason) {
+        answers.labelValues(service.value(), reason.code).inc();
+    }
+
+    /** Counts a retry. */
+    public void retried(ServiceId service, RunEnd end) {
+        retries.labelValues(service.value(), label(end.name())).inc();
+    }
+
+    /** Counts a dropped frame or connection between daemons. */
+    public void dropped(FrameDropReason reason) {
+        drops.labelValues(reason.code).inc();
+    }
+
+    /** Sets the version of the configuration in force. */
+    public void setConfigVersion(long version) {
+        configVersion.set(version);
+    }
+
+    /** Sets the number of racks owned. */
+    public void setRacksOwned(int racks) {
+        racksOwned.set(racks);
+    }
+
+    /** Returns the registry, for parts that have metrics of their own. */
+    public PrometheusRegistry registry() {
+        return registry;
+    }
+
+    /** Returns all metrics in the Prometheus text format. */
+    public byte[] text() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            new PrometheusTextFormatWriter(false).write(out, registry.scrape());
+        } catch (IOException e) {
+            throw new IllegalStateException("writing to memory failed", e);
+        }
+        return out.toByteArray();
+    }
+
+    private static String label(String constant) {
+        return constant.toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters, gauges and histograms of the daemon. */
+package org.crocusgrade.daemon.metrics;
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/ops/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' port. */
+package org.crocusgrade.daemon.ops;
