Read the daemon's settings file

Cause: a process learns its addresses and zone from its settings.

Change: settings are read by the same reader as service files, with the same reports; a secret that is not valid is never shown. Addresses are IP numbers, and the operators' port has an address of its own.

--- a/core/src/main/java/org/crocusgrade/core/config/IniDocument.java
+++ b/core/src/main/java/org/crocusgrade/core/config/IniDocument.java
@@ -116,7 +116,7 @@
                     entry.line(),
                     entry.label(),
                     form.accepted(),
-                    Problems.shown(entry.value()));
+                    Problems.shown(form.shown(entry.value())));
             return null;
         }
     }
--- a/core/src/main/java/org/crocusgrade/core/config/ValueForm.java
+++ b/core/src/main/java/org/crocusgrade/core/config/ValueForm.java
@@ -7,4 +7,9 @@
 
     /** Describes the values that are valid, with an example where it helps. */
     String accepted();
+
+    /** Returns a value that is not valid as a message may show it. */
+    default String shown(String text) {
+        return text;
+    }
 }
--- a/core/src/main/java/org/crocusgrade/core/config/ValueForms.java
+++ b/core/src/main/java/org/crocusgrade/core/config/ValueForms.java
@@ -5,6 +5,7 @@
 import java.net.UnknownHostException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -47,6 +48,29 @@
         }
     }
 
+    private record Secret(int minBytes, int maxBytes) implements ValueForm<byte[]> {
+        @Override
+        public byte[] parse(String text) throws ValueException {
+            if (!HEX.matcher(text).matches()) {
+                throw new ValueException(ConfigMessage.BAD_VALUE);
+            }
+            if (text.length() < 2 * minBytes || text.length() > 2 * maxBytes) {
+                throw new ValueException(ConfigMessage.OUT_OF_RANGE);
+            }
+            return HexFormat.of().parseHex(text);
+        }
+
+        @Override
+        public String accepted() {
+            return "%d to %d hexadecimal digits".formatted(2 * minBytes, 2 * maxBytes);
+        }
+
+        @Override
+        public String shown(String text) {
+            return "***";
+        }
+    }
+
     private interface Parser<T> {
         T parse(String text) throws ValueException;
     }
@@ -169,19 +193,9 @@
         return new Form<>("an IP number and port, such as 10.0.0.1:7400", ValueForms::socket);
     }
 
-    /** Bytes in hexadecimal digits, at least so many. */
-    public static ValueForm<byte[]> hex(int minBytes, int maxBytes) {
-        return new Form<>(
-                "%d to %d hexadecimal digits".formatted(2 * minBytes, 2 * maxBytes),
-                text -> {
-                    if (!HEX.matcher(text).matches()) {
-                        throw new ValueException(ConfigMessage.BAD_VALUE);
-                    }
-                    if (text.length() < 2 * minBytes || text.length() > 2 * maxBytes) {
-                        throw new ValueException(ConfigMessage.OUT_OF_RANGE);
-                    }
-                    return java.util.HexFormat.of().parseHex(text);
-                });
+    /** A secret: bytes in hexadecimal digits, at least so many; never shown. */
+    public static ValueForm<byte[]> secret(int minBytes, int maxBytes) {
+        return new Secret(minBytes, maxBytes);
     }
 
     /** Returns a duration as a file would have it, in the largest unit that divides it. */
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/settings/Settings.java
@@ -0,0 +1,99 @@
+package org.crocusgrade.daemon.settings;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.logging.Level;
+import org.crocusgrade.core.id.AvailabilityZone;
+import org.crocusgrade.core.id.DaemonId;
+import org.crocusgrade.core.id.Region;
+import org.crocusgrade.peer.PeerKey;
+
+/**
+ * What a daemon learns from its settings file.
+ *
+ * @param daemon its id, the same over restarts
+ * @param region its region
+ * @param zone its availability zone
+ * @param listen where it listens
+ * @param platform where the platform is
+ * @param peerKey the key that all daemons of the deployment share
+ * @param logLevel the lowest level that is logged
+ * @param threads the threads that serve requests
+ * @param bounds the sizes and times that it enforces
+ */
+public record Settings(
+        DaemonId daemon,
+        Region region,
+        AvailabilityZone zone,
+        Listen listen,
+        Platform platform,
+        PeerKey peerKey,
+        Level logLevel,
+        int threads,
+        Bounds bounds) {
+    /** Checks that no field is missing. */
+    public Settings {
+        Objects.requireNonNull(daemon);
+        Objects.requireNonNull(region);
+        Objects.requireNonNull(zone);
+        Objects.requireNonNull(listen);
+        Objects.requireNonNull(platform);
+        Objects.requireNonNull(peerKey);
+        Objects.requireNonNull(logLevel);
+        Objects.requireNonNull(bounds);
+    }
+
+    /**
+     * Where the daemon listens; each an IP number and port.
+     *
+     * @param callers for callers' requests
+     * @param operators for operators, apart from the callers' port
+     * @param peers for the other daemons
+     */
+    public record Listen(
+            InetSocketAddress callers, InetSocketAddress operators, InetSocketAddress peers) {
+        /** Checks that no field is missing. */
+        public Listen {
+            Objects.requireNonNull(callers);
+            Objects.requireNonNull(operators);
+            Objects.requireNonNull(peers);
+        }
+    }
+
+    /**
+     * Where the platform is; each an IP number and port.
+     *
+     * @param service its key-value service
+     * @param hosts its host list
+     */
+    public record Platform(InetSocketAddress service, InetSocketAddress hosts) {
+        /** Checks that no field is missing. */
+        public Platform {
+            Objects.requireNonNull(service);
+            Objects.requireNonNull(hosts);
+        }
+    }
+
+    /**
+     * The sizes and times that the daemon enforces.
+     *
+     * @param maxBodyBytes the largest body of a request or answer, in bytes
+     * @param maxHeaderBytes the largest header block of a request, in bytes
+     * @param stopTimeout the longest time that a planned stop waits for running requests
+     * @param leaveDelay how long a stopping daemon still accepts requests, so that the balancer
+     *     sees it go
+     */
+    public record Bounds(
+            long maxBodyBytes, int maxHeaderBytes, Duration stopTimeout, Duration leaveDelay) {
+        /** The bounds of a settings file that names none. */
+        public static final Bounds DEFAULT =
+                new Bounds(1L << 20, 16 << 10, Duration.ofSeconds(30), Duration.ofSeconds(2));
+
+        /** Checks that no field is missing. */
+        public Bounds {
+            Objects.requireNonNull(stopTimeout);
+            Objects.requireNonNull(leaveDelay);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/settings/SettingsReader.java
@@ -0,0 +1,155 @@
+package org.crocusgrade.daemon.settings;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.logging.Level;
+import org.crocusgrade.core.config.ConfigException;
+import org.crocusgrade.core.config.ConfigMessage;
+import org.crocusgrade.core.config.IniDocument;
+import org.crocusgrade.core.config.Problems;
+import org.crocusgrade.core.config.ServiceFileReader;
+import org.crocusgrade.core.config.ValueForm;
+import org.crocusgrade.core.config.ValueForms;
+import org.crocusgrade.core.id.AvailabilityZone;
+import org.crocusgrade.core.id.DaemonId;
+import org.crocusgrade.core.id.Region;
+import org.crocusgrade.daemon.settings.Settings.Bounds;
+import org.crocusgrade.daemon.settings.Settings.Listen;
+import org.crocusgrade.daemon.settings.Settings.Platform;
+import org.crocusgrade.peer.PeerKey;
+
+/** Reads a daemon's settings file. */
+public final class SettingsReader {
+    private static final int MAX_KEY_BYTES = 64;
+    private static final int MAX_THREADS = 256;
+    private static final int DEFAULT_THREADS = 2;
+    private static final Duration MAX_STOP = Duration.ofHours(1);
+    private static final Duration MAX_LEAVE = Duration.ofMinutes(1);
+
+    private final IniDocument doc;
+    private final Problems problems;
+
+    private SettingsReader(IniDocument doc, Problems problems) {
+        this.doc = doc;
+        this.problems = problems;
+    }
+
+    /** Reads a file. */
+    public static Settings read(Path file) throws ConfigException, IOException {
+        try (InputStream in = Files.newInputStream(file)) {
+            return read(file.toString(), in.readNBytes(ServiceFileReader.MAX_FILE_BYTES + 1));
+        }
+    }
+
+    /** Reads a file's text; the exception carries every fault found. */
+    public static Settings read(String file, String text) throws ConfigException {
+        return read(file, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static Settings read(String file, byte[] content) throws ConfigException {
+        Problems problems = new Problems(file);
+        return new SettingsReader(IniDocument.read(content, problems), problems).readAll();
+    }
+
+    private Settings readAll() throws ConfigException {
+        DaemonId daemon = required("daemon", "id", ValueForms.id(DaemonId::new));
+        Region region = required("daemon", "region", ValueForms.id(Region::new));
+        AvailabilityZone zone = required("daemon", "zone", ValueForms.id(AvailabilityZone::new));
+        Integer threads =
+                optional("daemon", "threads", ValueForms.integer(1, MAX_THREADS), DEFAULT_THREADS);
+        Level level = optional("daemon", "log-level", levels(), Level.INFO);
+        Listen listen = listen();
+        Platform platform = platform();
+        byte[] key = required("peers", "key", ValueForms.secret(PeerKey.MIN_BYTES, MAX_KEY_BYTES));
+        Bounds bounds = bounds();
+        doc.refuseRest(problems);
+        problems.check();
+        return new Settings(
+                daemon, region, zone, listen, platform, new PeerKey(key), level, threads, bounds);
+    }
+
+    private Listen listen() {
+        InetSocketAddress callers = required("listen", "callers", ValueForms.address());
+        InetSocketAddress operators = required("listen", "operators", ValueForms.address());
+        InetSocketAddress peers = required("listen", "peers", ValueForms.address());
+        if (callers == null || operators == null || peers == null) {
+            return null;
+        }
+        refuseShared("operators", operators, "callers", callers);
+        refuseShared("peers", peers, "callers", callers);
+        refuseShared("peers", peers, "operators", operators);
+        return new Listen(callers, operators, peers);
+    }
+
+    private void refuseShared(
+            String key, InetSocketAddress address, String otherKey, InetSocketAddress other) {
+        if (address.getPort() == 0 || !address.equals(other)) {
+            return;
+        }
+        problems.add(
+                ConfigMessage.CONTRADICTION,
+                doc.line("listen", key),
+                "[listen] " + key,
+                "an address of its own",
+                key + " has the address of " + otherKey);
+    }
+
+    private Platform platform() {
+        InetSocketAddress service = required("platform", "service", ValueForms.address());
+        InetSocketAddress hosts = required("platform", "hosts", ValueForms.address());
+        return service == null || hosts == null ? null : new Platform(service, hosts);
+    }
+
+    private Bounds bounds() {
+        Bounds d = Bounds.DEFAULT;
+        Long body =
+                optional(
+                        "bounds", "max-body", ValueForms.size(1 << 10, 64 << 20), d.maxBodyBytes());
+        Long headers =
+                optional(
+                        "bounds",
+                        "max-headers",
+                        ValueForms.size(1 << 10, 1 << 20),
+                        (long) d.maxHeaderBytes());
+        Duration stop =
+                optional(
+                        "bounds",
+                        "stop-timeout",
+                        ValueForms.duration(Duration.ofSeconds(1), MAX_STOP),
+                        d.stopTimeout());
+        Duration leave =
+                optional(
+                        "bounds",
+                        "leave-delay",
+                        ValueForms.duration(Duration.ZERO, MAX_LEAVE),
+                        d.leaveDelay());
+        if (body == null || headers == null || stop == null || leave == null) {
+            return null;
+        }
+        return new Bounds(body, headers.intValue(), stop, leave);
+    }
+
+    private <T> T required(String section, String key, ValueForm<T> form) {
+        return doc.required(section, key, form, problems);
+    }
+
+    private <T> T optional(String section, String key, ValueForm<T> form, T absent) {
+        return doc.optional(section, key, form, absent, problems);
+    }
+
+    private static ValueForm<Level> levels() {
+        Map<String, Level> words = new LinkedHashMap<>();
+        words.put("debug", Level.FINE);
+        words.put("info", Level.INFO);
+        words.put("warning", Level.WARNING);
+        words.put("error", Level.SEVERE);
+        return ValueForms.word(words);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon's settings file. */
+package org.crocusgrade.daemon.settings;
