--- a/core/src/main/java/org/crocusgrade/core/dispatch/FairQueue.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/FairQueue.java
@@ -35,6 +35,11 @@
     /** Requests of one customer that are tried for the free slots before the next customer is. */
     private static final int LOOK_AHEAD = 8;
 
+    private static final long SHARE_KNOWN_NANOS = 200_000_000L;
+    private static final int ADDS_FOR_EACH_PRUNE = 1024;
+    private static final double NEGLIGIBLE_NANOS = 1e4;
+    private static final double LEAST_SHARE = 0.001;
+
     private static final Comparator<Flow> BY_TAG =
             Comparator.<Flow>comparingDouble(flow -> flow.tag)
                     .thenComparing(flow -> flow.customer.value());
@@ -43,6 +48,7 @@
     private final TreeSet<Flow> active = new TreeSet<>(BY_TAG);
     private double virtualNanos;
     private int size;
+    private long added;
 
     /** Returns the requests that wait. */
     int size() {
@@ -56,9 +62,13 @@
     }
 
     /** Adds a request. */
-    void add(PendingRequest pending) {
+    void add(PendingRequest pending, long now) {
+        if (++added % ADDS_FOR_EACH_PRUNE == 0) {
+            prune(now);
+        }
         Flow flow = flows.computeIfAbsent(pending.request.customer(), Flow::new);
         if (flow.waiting.isEmpty()) {
+            flow.waitsSinceNanos = now;
             flow.tag = Math.max(flow.tag, virtualNanos);
             active.add(flow);
         }
@@ -75,7 +85,6 @@
         size--;
         if (flow.waiting.isEmpty()) {
             active.remove(flow);
-            dropIfIdle(flow);
         }
         return true;
     }
@@ -91,7 +100,8 @@
     PendingRequest poll(
             ToIntFunction<CustomerId> limit,
             Predicate<PendingRequest> startable,
-            double costNanos) {
+            double costNanos,
+            long now) {
         for (Flow flow : active) {
             if (flow.running >= limit.applyAsInt(flow.customer)) {
                 continue;
@@ -106,6 +116,7 @@
             virtualNanos = Math.max(virtualNanos, flow.tag);
             flow.tag += costNanos;
             flow.running++;
+            flow.started.mark(costNanos, now);
             if (!flow.waiting.isEmpty()) {
                 active.add(flow);
             }
@@ -139,7 +150,6 @@
         if (waits) {
             active.add(flow);
         }
-        dropIfIdle(flow);
     }
 
     /** Returns the slots that a customer's requests of this queue hold. */
@@ -148,6 +158,29 @@
         return flow == null ? 0 : flow.running;
     }
 
+    /** Returns how many of the customer's waiting requests have an earlier deadline. */
+    int position(Request request) {
+        Flow own = flows.get(request.customer());
+        return own == null ? 0 : own.earlier(request.deadlineNanos());
+    }
+
+    /**
+     * Returns the part of all started work that was the customer's while it waited, as far as that
+     * can be told: 1 if it did not wait long.
+     *
+     * @param allStarted all started work of the service
+     */
+    double share(CustomerId customer, double allStarted, long now) {
+        Flow own = flows.get(customer);
+        if (own == null
+                || own.waiting.isEmpty()
+                || now - own.waitsSinceNanos < SHARE_KNOWN_NANOS
+                || allStarted <= 0) {
+            return 1;
+        }
+        return Math.max(LEAST_SHARE, own.started.count(now) / allStarted);
+    }
+
     /**
      * Returns how many waiting requests would start before a new one.
      *
@@ -156,6 +189,45 @@
     int ahead(Request request, double costNanos) {
         Flow own = flows.get(request.customer());
         int earlier = own == null ? 0 : own.earlier(request.deadlineNanos());
+        return ahead(own, earlier, costNanos);
+    }
+
+    /** Returns the least time to spare of the customer's requests that a new one would delay. */
+    double leastSpareBehind(Request request) {
+        Flow own = flows.get(request.customer());
+        double least = Double.MAX_VALUE;
+        if (own == null) {
+            return least;
+        }
+        for (PendingRequest pending : own.waiting.descendingSet()) {
+            if (pending.request.deadlineNanos() - request.deadlineNanos() <= 0) {
+                break;
+            }
+            least = Math.min(least, pending.spareNanos);
+        }
+        return least;
+    }
+
+    /** Takes time to spare from the customer's requests that a new one delays. */
+    void delayBehind(Request request, double nanos) {
+        Flow own = flows.get(request.customer());
+        if (own == null) {
+            return;
+        }
+        for (PendingRequest pending : own.waiting.descendingSet()) {
+            if (pending.request.deadlineNanos() - request.deadlineNanos() <= 0) {
+                break;
+            }
+            pending.spareNanos -= nanos;
+        }
+    }
+
+    /** Returns the customers that wait. */
+    int customers() {
+        return active.size();
+    }
+
+    private int ahead(Flow own, int earlier, double costNanos) {
         double tag = own == null ? virtualNanos : Math.max(own.tag, virtualNanos);
         double newTag = tag + earlier * costNanos;
         int count = earlier;
@@ -194,7 +266,9 @@
         }
         while (!heap.isEmpty()) {
             Cursor cursor = heap.poll();
-            order.add(cursor.waiting.next());
+            PendingRequest next = cursor.waiting.next();
+            next.position = cursor.position++;
+            order.add(next);
             if (cursor.waiting.hasNext()) {
                 cursor.tag += costNanos;
                 heap.add(cursor);
@@ -203,26 +277,24 @@
         return order;
     }
 
-    private void dropIfIdle(Flow flow) {
-        if (isIdle(flow)) {
-            flows.remove(flow.customer);
-        }
-    }
-
     /** Forgets customers that are away and whose charge the virtual time has passed. */
-    void prune() {
-        flows.values().removeIf(this::isIdle);
-    }
-
-    private boolean isIdle(Flow flow) {
-        return flow.waiting.isEmpty() && flow.running == 0 && flow.tag <= virtualNanos;
+    private void prune(long now) {
+        flows.values()
+                .removeIf(
+                        flow ->
+                                flow.waiting.isEmpty()
+                                        && flow.running == 0
+                                        && flow.tag <= virtualNanos
+                                        && flow.started.count(now) < NEGLIGIBLE_NANOS);
     }
 
     private static final class Flow {
         private final CustomerId customer;
         private final TreeSet<PendingRequest> waiting = new TreeSet<>(PendingRequest::byDeadline);
+        private final RateMeter started = new RateMeter();
         private double tag;
         private int running;
+        private long waitsSinceNanos;
 
         private Flow(CustomerId customer) {
             this.customer = customer;
@@ -244,6 +316,7 @@
         private final Iterator<PendingRequest> waiting;
         private final String customer;
         private double tag;
+        private int position;
 
         private Cursor(Flow flow) {
             waiting = flow.waiting.iterator();
--- a/core/src/main/java/org/crocusgrade/core/dispatch/Lanes.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/Lanes.java
@@ -18,10 +18,11 @@
  *
  * <p>The wait of a request is estimated as the work ahead of it, in slot time by the learned mean
  * run times, over the slots. A request whose wait and run time together pass its deadline is
- * refused. Two thresholds keep errors of the estimate cheap: a new request must fit with a run time
- * that most runs stay under, while one that was taken is given up only when it would probably be
- * late even if the wait is overestimated. Must-finish work is given the benefit of the doubt in
- * both cases. Nothing is refused by an estimate while slots are free or before runs were seen.
+ * refused: a slot spent on a run that ends too late is lost to another that would have been in
+ * time. The run time reckoned with is {@link RunTimes#enoughNanos}. One that was taken is given up
+ * only when it would be late even if its wait is overestimated. Must-finish work is given the
+ * benefit of the doubt in both cases. Nothing is refused by an estimate while slots are free or
+ * before runs were seen.
  */
 final class Lanes {
     /** While ordinary work waits, one start in this many is ordinary. */
@@ -30,17 +31,18 @@
     /** Urgent work starts within this time, in nanoseconds. */
     static final long URGENT_START_NANOS = 2_000_000_000L;
 
-    private static final double PROMPT_ADMIT_QUANTILE = 0.9;
-    private static final double PROMPT_KEEP_QUANTILE = 0.5;
+    private static final double LONG_RUN_QUANTILE = 0.9;
     private static final double PROMPT_KEEP_WAIT_RATIO = 0.8;
     private static final double FINISH_QUANTILE = 0.1;
     private static final double FINISH_WAIT_RATIO = 0.5;
+    private static final double HORIZON_FADE = 0.999;
     private static final double RESERVE_AT_MOST = 0.25;
     private static final double MIN_URGENT_COUNT = 1e-6;
 
     private final QueueSettings settings;
     private final Lane urgent;
     private final Lane ordinary;
+    private final RateMeter started = new RateMeter();
     private int urgentStarts;
 
     Lanes(QueueSettings settings) {
@@ -53,8 +55,8 @@
         return urgent.queue.size() + ordinary.queue.size();
     }
 
-    void add(PendingRequest pending) {
-        lane(pending.request).queue.add(pending);
+    void add(PendingRequest pending, long now) {
+        lane(pending.request).queue.add(pending, now);
     }
 
     boolean remove(PendingRequest pending) {
@@ -63,7 +65,10 @@
 
     /** Counts an arrival, refused or not. */
     void arrived(Request request, long now) {
-        lane(request).arrivals.mark(now);
+        Lane lane = lane(request);
+        lane.arrivals.mark(now);
+        double left = request.deadlineNanos() - now;
+        lane.horizonNanos = Math.max(left, lane.horizonNanos * HORIZON_FADE);
     }
 
     /** Learns the time of a run. */
@@ -97,7 +102,7 @@
         boolean turn = urgentStarts >= ORDINARY_TURN - 1 && ordinary.queue.size() > 0;
         PendingRequest next = turn ? pollOrdinary(startable, free, slots, now) : null;
         if (next == null) {
-            next = poll(urgent, ordinary, startable);
+            next = poll(urgent, ordinary, startable, now);
             if (next != null) {
                 urgentStarts++;
                 return next;
@@ -115,14 +120,22 @@
         if (free <= reserve(slots, now)) {
             return null;
         }
-        return poll(ordinary, urgent, startable);
+        return poll(ordinary, urgent, startable, now);
     }
 
-    private PendingRequest poll(Lane lane, Lane other, Predicate<PendingRequest> startable) {
-        return lane.queue.poll(
-                customer -> settings.slotLimit(customer) - other.queue.running(customer),
-                startable,
-                lane.runTimes.meanNanos());
+    private PendingRequest poll(
+            Lane lane, Lane other, Predicate<PendingRequest> startable, long now) {
+        double cost = lane.runTimes.meanNanos();
+        PendingRequest next =
+                lane.queue.poll(
+                        customer -> settings.slotLimit(customer) - other.queue.running(customer),
+                        startable,
+                        cost,
+                        now);
+        if (next != null) {
+            started.mark(cost, now);
+        }
+        return next;
     }
 
     /** Returns the slots that are kept for urgent work. */
@@ -130,7 +143,7 @@
         if (slots < 2 || urgent.arrivals.count(now) < MIN_URGENT_COUNT) {
             return 0;
         }
-        double nextFreeNanos = ordinary.runTimes.quantileNanos(PROMPT_ADMIT_QUANTILE) / slots;
+        double nextFreeNanos = ordinary.runTimes.quantileNanos(LONG_RUN_QUANTILE) / slots;
         if (nextFreeNanos <= URGENT_START_NANOS / 4.0) {
             return 0;
         }
@@ -150,7 +163,7 @@
         if (!lane.runTimes.known()) {
             return null;
         }
-        double slack = request.deadlineNanos() - now - lane.runTimes.quantileNanos(admitQuantile());
+        double slack = request.deadlineNanos() - now - runNanos(lane);
         int limit = settings.slotLimit(request.customer());
         if (limit != Integer.MAX_VALUE) {
             int own = urgent.queue.size(request.customer()) + held(request.customer());
@@ -161,14 +174,31 @@
             }
         }
         int kept = request.urgent() ? 0 : reserve(slots, now);
-        double wait = (size() + 1) * slowestMean() / slots;
-        if (free > kept || wait <= slack) {
+        if (free > kept) {
             return null;
         }
         double mean = lane.runTimes.meanNanos();
         int ahead = lane.queue.ahead(request, mean);
-        double late = laneWait(request.urgent(), ahead, slots) * admitRatio() - slack;
-        return late > 0 ? new Verdict(Reason.DEADLINE_UNREACHABLE, late) : null;
+        double wait = laneWait(request.urgent(), ahead, slots);
+        wait = Math.max(wait, shareWait(lane, request, lane.queue.position(request), slots, now));
+        double late = wait * admitRatio() - slack;
+        double share = lane.queue.share(request.customer(), started.count(now), now);
+        double step = mean / slots / Math.min(share, 1.0 / Math.max(1, lane.queue.customers()));
+        late = Math.max(late, step - lane.queue.leastSpareBehind(request));
+        if (late > 0) {
+            return new Verdict(Reason.DEADLINE_UNREACHABLE, late);
+        }
+        lane.queue.delayBehind(request, step);
+        return null;
+    }
+
+    /**
+     * Returns the wait for a place among the customer's own requests at the rate at which its work
+     * started lately. It is more than the order tells when others, that do not wait, keep coming.
+     */
+    private double shareWait(Lane lane, Request request, int position, int slots, long now) {
+        double share = lane.queue.share(request.customer(), started.count(now), now);
+        return (position + 1) * lane.runTimes.meanNanos() / (slots * share);
     }
 
     private double laneWait(boolean isUrgent, int ahead, int slots) {
@@ -208,7 +238,11 @@
                 ownWait = waitNanos(own - limit + 1, mean, limit);
                 limited.put(customer, own + 1);
             }
-            if (isHopeless(pending, Math.max(laneWait, ownWait), now)) {
+            double shareWait = shareWait(lane, pending.request, pending.position, slots, now);
+            double worst = Math.max(shareWait, Math.max(laneWait, ownWait));
+            pending.spareNanos =
+                    pending.request.deadlineNanos() - now - worst * admitRatio() - runNanos(lane);
+            if (isHopeless(pending, worst, now)) {
                 late.add(pending);
             } else if (ownWait <= laneWait) {
                 ahead++;
@@ -219,14 +253,13 @@
     /** Returns whether a waiting request would probably be late after this wait. */
     boolean isHopeless(PendingRequest pending, double waitNanos, long now) {
         long left = pending.request.deadlineNanos() - now;
-        RunTimes runTimes = lane(pending.request).runTimes;
-        if (left <= 0 || !runTimes.known()) {
+        Lane lane = lane(pending.request);
+        if (left <= 0 || !lane.runTimes.known()) {
             return left <= 0;
         }
         boolean prompt = settings.serviceClass() == ServiceClass.PROMPT;
         double ratio = prompt ? PROMPT_KEEP_WAIT_RATIO : FINISH_WAIT_RATIO;
-        double quantile = prompt ? PROMPT_KEEP_QUANTILE : FINISH_QUANTILE;
-        return waitNanos * ratio + runTimes.quantileNanos(quantile) > left;
+        return waitNanos * ratio + runNanos(lane) > left;
     }
 
     /** Returns the request to give up when the queue is full, if that is fairer than the new. */
@@ -240,12 +273,6 @@
         return lane.queue.size(last.request.customer()) > own + 1 ? last : null;
     }
 
-    /** Forgets customers that are away. */
-    void prune() {
-        urgent.queue.prune();
-        ordinary.queue.prune();
-    }
-
     /** Returns the time until one slot comes free, on average. */
     double slotIntervalNanos(int slots) {
         return slowestMean() / Math.max(1, slots);
@@ -262,10 +289,10 @@
         return urgent.queue.running(customer) + ordinary.queue.running(customer);
     }
 
-    private double admitQuantile() {
+    private double runNanos(Lane lane) {
         return settings.serviceClass() == ServiceClass.PROMPT
-                ? PROMPT_ADMIT_QUANTILE
-                : FINISH_QUANTILE;
+                ? lane.runTimes.enoughNanos(lane.horizonNanos, settings.cancelRunning())
+                : lane.runTimes.quantileNanos(FINISH_QUANTILE);
     }
 
     private double admitRatio() {
@@ -292,6 +319,7 @@
         private final FairQueue queue = new FairQueue();
         private final RateMeter arrivals = new RateMeter();
         private final RunTimes runTimes;
+        private double horizonNanos;
 
         private Lane(RunTimes runTimes) {
             this.runTimes = runTimes;
--- a/core/src/main/java/org/crocusgrade/core/dispatch/PendingRequest.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/PendingRequest.java
@@ -36,6 +36,12 @@
 
     long wakeNanos;
 
+    /** How many of its customer's requests wait before it, as counted last. */
+    int position;
+
+    /** The time to spare before its deadline, as estimated last. */
+    double spareNanos = Double.MAX_VALUE;
+
     /** Why the last attempt that may have run gave no answer; null if none may have run. */
     Reason failure;
 
--- a/core/src/main/java/org/crocusgrade/core/dispatch/RateMeter.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/RateMeter.java
@@ -1,6 +1,6 @@
 package org.crocusgrade.core.dispatch;
 
-/** Counts events with exponential decay, as a rate over about the last second. */
+/** Sums events with exponential decay, as a rate over about the last second. */
 final class RateMeter {
     private static final double TIME_CONSTANT_NANOS = 1e9;
 
@@ -9,7 +9,12 @@
 
     /** Counts one event. */
     void mark(long now) {
-        count = count(now) + 1;
+        mark(1, now);
+    }
+
+    /** Adds an event of some weight. */
+    void mark(double weight, long now) {
+        count = count(now) + weight;
         lastNanos = now;
     }
 
--- a/core/src/main/java/org/crocusgrade/core/dispatch/RunTimes.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/RunTimes.java
@@ -20,6 +20,9 @@
     private static final int BUCKETS = 40 * PER_DOUBLING;
     private static final double OUTLIER_RATIO = 8.0;
     private static final double TAIL = 0.95;
+    private static final double NEARLY = 0.99;
+    private static final double HORIZON_TOLERANCE = 1.2;
+    private static final long REFRESH = 64;
     private static final double LN_2 = Math.log(2);
 
     private final double[] weights = new double[BUCKETS];
@@ -28,6 +31,9 @@
     private long seen;
     private boolean stale = true;
     private double meanNanos;
+    private double enoughNanos;
+    private double enoughHorizonNanos;
+    private long enoughSeen;
 
     RunTimes(Duration declared) {
         declaredNanos = Math.max(1, declared.toNanos());
@@ -71,6 +77,57 @@
         return known() ? quantile(share) : declaredNanos;
     }
 
+    /**
+     * Returns how much time a run should have left to be worth its slot when other work waits for
+     * it.
+     *
+     * <p>A run that is given the time t succeeds with the probability P(run &le; t) and takes the
+     * slot for E[min(run, t)], or for E[run] when it cannot be cut. The quotient is what a slot
+     * yields when it is spent on such runs. The time returned is the shortest whose yield is nearly
+     * the best that any time up to the horizon gives. When run times differ little this is a high
+     * quantile. When a few runs are longer than any deadline it stays at the time of the others, so
+     * that these few do not turn away all.
+     *
+     * @param horizonNanos the most time that requests have
+     * @param cut whether a run is cancelled at its deadline
+     */
+    double enoughNanos(double horizonNanos, boolean cut) {
+        if (!known()) {
+            return 0;
+        }
+        boolean near =
+                horizonNanos <= enoughHorizonNanos * HORIZON_TOLERANCE
+                        && horizonNanos * HORIZON_TOLERANCE >= enoughHorizonNanos;
+        if (!near || seen - enoughSeen >= Math.min(seen / 4, REFRESH)) {
+            enoughNanos = computeEnough(horizonNanos, cut);
+            enoughHorizonNanos = horizonNanos;
+            enoughSeen = seen;
+        }
+        return enoughNanos;
+    }
+
+    private double computeEnough(double horizonNanos, boolean cut) {
+        double[] yields = new double[BUCKETS];
+        double done = 0;
+        double work = 0;
+        double best = 0;
+        int last = 0;
+        for (int i = 0; i < BUCKETS && (last == 0 || value(i + 0.5) <= horizonNanos); i++) {
+            done += weights[i];
+            work += weights[i] * value(i);
+            double time = cut ? work + (total - done) * value(i + 0.5) : 1;
+            yields[i] = done / time;
+            best = Math.max(best, yields[i]);
+            last = done > 0 ? i : 0;
+        }
+        for (int i = 0; i <= last; i++) {
+            if (yields[i] >= NEARLY * best && yields[i] > 0) {
+                return value(i + 0.5);
+            }
+        }
+        return value(last + 0.5);
+    }
+
     private double quantile(double share) {
         double left = share * total;
         for (int i = 0; i < BUCKETS; i++) {
--- a/core/src/main/java/org/crocusgrade/core/dispatch/ServiceQueue.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/ServiceQueue.java
@@ -91,7 +91,7 @@
         }
         PendingRequest entry = new PendingRequest(request, sequence++, now);
         pending.put(request.id(), entry);
-        lanes.add(entry);
+        lanes.add(entry, now);
         pump(now);
     }
 
@@ -282,7 +282,7 @@
         while (!delayed.isEmpty() && delayed.first().wakeNanos - now <= 0) {
             PendingRequest entry = delayed.pollFirst();
             entry.state = PendingRequest.State.QUEUED;
-            lanes.add(entry);
+            lanes.add(entry, now);
         }
         pump(now);
     }
@@ -346,7 +346,6 @@
             lanes.remove(entry);
             giveUpLate(entry, now);
         }
-        lanes.prune();
     }
 
     private void giveUpLate(PendingRequest entry, long now) {
