--- a/core/src/main/java/org/crocusgrade/core/fleet/Slot.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/Slot.java
@@ -62,6 +62,11 @@
         return nanoTime - endNanos < 0;
     }
 
+    /** Returns the monotonic time at which the lease ends unless it is renewed. */
+    public long endNanos() {
+        return endNanos;
+    }
+
     long bit() {
         return 1L << index;
     }
--- a/core/src/main/java/org/crocusgrade/core/fleet/SlotPool.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/SlotPool.java
@@ -132,6 +132,17 @@
         return n;
     }
 
+    /** Returns the slots of a pool on which requests run or may be started now. */
+    public List<Slot> usable(PoolId pool, long now) {
+        List<Slot> usable = new ArrayList<>();
+        for (Slot slot : snapshot.getOrDefault(pool, new Slot[0])) {
+            if (!slot.isRecalled() && !slot.isReturned() && slot.isValid(now)) {
+                usable.add(slot);
+            }
+        }
+        return usable;
+    }
+
     /** Returns the slots of a pool held, idle or running. */
     public int held(PoolId pool) {
         int n = 0;
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/DaemonMain.java
@@ -0,0 +1,54 @@
+package org.crocusgrade.daemon;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import org.crocusgrade.core.config.ConfigException;
+import org.crocusgrade.daemon.settings.Settings;
+import org.crocusgrade.daemon.settings.SettingsReader;
+
+/** Starts a daemon from its settings file; SIGTERM stops it gracefully. */
+public final class DaemonMain {
+    private static final int REFUSED = 1;
+    private static final int USAGE = 2;
+
+    private DaemonMain() {}
+
+    /** Runs until the process is told to stop. */
+    public static void main(String[] args) {
+        ArgumentParser parser =
+                ArgumentParsers.newFor("crocusgraded")
+                        .build()
+                        .description("Runs one crocusgrade daemon.");
+        parser.addArgument("--settings").required(true).help("the daemon's settings file (INI)");
+        try {
+            run(Path.of(parser.parseArgs(args).getString("settings")));
+        } catch (ArgumentParserException e) {
+            parser.handleError(e);
+            System.exit(USAGE);
+        } catch (ConfigException | IOException | DaemonException e) {
+            System.err.println("crocusgraded: " + e.getMessage());
+            System.exit(REFUSED);
+        }
+    }
+
+    private static void run(Path file) throws ConfigException, IOException, DaemonException {
+        Settings settings = SettingsReader.read(file);
+        setLogLevel(settings.logLevel());
+        Daemon daemon = new Daemon(settings);
+        Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
+        daemon.start();
+    }
+
+    private static void setLogLevel(Level level) {
+        Logger root = Logger.getLogger("");
+        root.setLevel(level);
+        for (var handler : root.getHandlers()) {
+            handler.setLevel(level);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/edge/FlowTable.java
@@ -0,0 +1,19 @@
+package org.crocusgrade.daemon.edge;
+
+import java.util.Map;
+import org.crocusgrade.core.id.ServiceId;
+
+/**
+ * The flows of the configuration in force, replaced whole.
+ *
+ * @param flows by service
+ */
+public record FlowTable(Map<ServiceId, ServiceFlow> flows) {
+    /** No services. */
+    public static final FlowTable EMPTY = new FlowTable(Map.of());
+
+    /** Copies the map. */
+    public FlowTable {
+        flows = Map.copyOf(flows);
+    }
+}
--- a/daemon/src/main/java/org/crocusgrade/daemon/edge/ServiceFlow.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/edge/ServiceFlow.java
@@ -123,8 +123,7 @@
     public void start(Attempt attempt) {
         Exchange exchange = exchanges.get(attempt.request().id());
         long now = parts.clock().nanoTime();
-        Optional<Slot> slot =
-                parts.slots().acquire(config.pool(), attempt.worker()::equals, now);
+        Optional<Slot> slot = parts.slots().acquire(config.pool(), attempt.worker()::equals, now);
         Optional<HostEntry> host = fleet.host(attempt.worker());
         if (slot.isEmpty() || host.isEmpty()) {
             slot.ifPresent(held -> parts.slots().release(held, now));
--- /dev/null
+++ b/daemon/src/test/java/org/crocusgrade/daemon/TestFleet.java
@@ -0,0 +1,140 @@
+package org.crocusgrade.daemon;
+
+import io.vertx.mutiny.core.Vertx;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.logging.Level;
+import java.util.stream.Stream;
+import org.crocusgrade.core.config.ConfigChange;
+import org.crocusgrade.core.config.ConfigException;
+import org.crocusgrade.core.config.ConfigHead;
+import org.crocusgrade.core.config.Publisher;
+import org.crocusgrade.core.id.AvailabilityZone;
+import org.crocusgrade.core.id.DaemonId;
+import org.crocusgrade.core.id.PublishId;
+import org.crocusgrade.core.id.RackId;
+import org.crocusgrade.core.id.Region;
+import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.port.Clock;
+import org.crocusgrade.core.port.HostEntry;
+import org.crocusgrade.daemon.platform.HttpKeyValueStore;
+import org.crocusgrade.daemon.settings.Settings;
+import org.crocusgrade.peer.PeerKey;
+import org.crocusgrade.standin.HostListServer;
+import org.crocusgrade.standin.PlatformServer;
+import org.crocusgrade.standin.WorkerServer;
+
+/** A small fleet on loopback: stand-ins, daemons, and a published configuration. */
+public final class TestFleet implements AutoCloseable {
+    private static final Duration WAIT = Duration.ofSeconds(10);
+    private static final Duration STORE_TIMEOUT = Duration.ofSeconds(2);
+    private static final int WORKERS_PER_RACK = 4;
+    private static final int SLOTS = 8;
+    private static final int CONNECTIONS = 64;
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final long SEED = 1;
+
+    public final Vertx vertx = Vertx.vertx();
+    public final PlatformServer platform = new PlatformServer(Clock.system(), SEED);
+    public final List<WorkerServer> workers = new ArrayList<>();
+    public final List<Daemon> daemons = new ArrayList<>();
+    public final HostListServer hosts;
+    private final InetSocketAddress platformAddress;
+    private final InetSocketAddress hostsAddress;
+
+    /** Starts the stand-ins of a fleet with the given number of workers. */
+    public TestFleet(int workerCount) {
+        platformAddress = platform.start(vertx, LOOPBACK, 0).await().atMost(WAIT);
+        List<HostEntry> entries = new ArrayList<>();
+        for (int i = 0; i < workerCount; i++) {
+            WorkerId id = new WorkerId("w" + i);
+            WorkerServer worker = new WorkerServer(id, Clock.system(), SLOTS, CONNECTIONS);
+            workers.add(worker);
+            entries.add(entry(i, id, worker.start(vertx, LOOPBACK, 0).await().atMost(WAIT)));
+        }
+        hosts = new HostListServer(Clock.system(), entries, Duration.ZERO, Duration.ofSeconds(1));
+        hostsAddress = hosts.start(vertx, LOOPBACK, 0).await().atMost(WAIT);
+    }
+
+    private static HostEntry entry(int index, WorkerId id, InetSocketAddress address) {
+        int rack = index / WORKERS_PER_RACK;
+        return new HostEntry(
+                id,
+                address,
+                new RackId("rack-" + rack),
+                new AvailabilityZone("zone-" + rack % 3),
+                HostEntry.State.LIVE,
+                32,
+                128L << 30,
+                0,
+                SLOTS,
+                CONNECTIONS,
+                "image-1");
+    }
+
+    /** Starts one more daemon. */
+    public Daemon startDaemon() throws DaemonException {
+        Daemon daemon = new Daemon(settings(daemons.size()));
+        daemons.add(daemon);
+        daemon.start();
+        return daemon;
+    }
+
+    private Settings settings(int index) {
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        return new Settings(
+                new DaemonId("d" + index),
+                new Region("region-1"),
+                new AvailabilityZone("zone-" + index % 3),
+                new Settings.Listen(any, any, any),
+                new Settings.Platform(platformAddress, hostsAddress),
+                new PeerKey("a key for tests only".getBytes(StandardCharsets.UTF_8)),
+                Level.INFO,
+                2,
+                new Settings.Bounds(1 << 20, 16 << 10, Duration.ofSeconds(5), Duration.ZERO));
+    }
+
+    /** Publishes a folder of service files as an operator would. */
+    public Publisher.Result publish(Path folder) throws IOException, ConfigException {
+        HttpKeyValueStore store = store();
+        try {
+            Map<String, String> texts = new TreeMap<>();
+            try (Stream<Path> files = Files.list(folder)) {
+                for (Path file : files.toList()) {
+                    texts.put(file.getFileName().toString(), Files.readString(file));
+                }
+            }
+            ConfigChange change = ConfigChange.of(texts, Set.of());
+            return new Publisher(store, Clock.system())
+                    .publish(new PublishId("test-publish"), change, ConfigHead.NONE)
+                    .await()
+                    .atMost(WAIT);
+        } finally {
+            store.close();
+        }
+    }
+
+    /** Returns a client of the platform's service. */
+    public HttpKeyValueStore store() {
+        return new HttpKeyValueStore(vertx, platformAddress, STORE_TIMEOUT);
+    }
+
+    @Override
+    public void close() {
+        daemons.forEach(Daemon::close);
+        workers.forEach(worker -> worker.stop().await().atMost(WAIT));
+        hosts.stop().await().atMost(WAIT);
+        platform.stop().await().atMost(WAIT);
+        vertx.closeAndAwait();
+    }
+}
