--- a/core/src/main/java/org/crocusgrade/core/dispatch/ServiceQueue.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/ServiceQueue.java
@@ -190,6 +190,9 @@
         } else if (end.provesNotRun()) {
             slots.pause(worker, now + FULL_PAUSE_NANOS);
         }
+        if (end == RunEnd.ANSWERED || end.blamesWorker()) {
+            slots.judged(worker, end.blamesWorker(), now);
+        }
     }
 
     private void settle(PendingRequest entry, RunEnd end, long now) {
@@ -285,7 +288,6 @@
     }
 
     private void pump(long now) {
-        sweep(now);
         int free = slots.free(now);
         while (free > 0 && lanes.size() > 0) {
             PendingRequest next =
@@ -297,6 +299,7 @@
             start(next, now);
             free--;
         }
+        sweep(now);
         publish(now);
     }
 
