Publish only service files in the whole-path test

Cause: the samples gained a daemon settings file, which the test published as a service. Change: the test takes the service files.

--- a/daemon/src/test/java/org/crocusgrade/daemon/TestFleet.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/TestFleet.java
@@ -110,7 +110,7 @@
         try {
             Map<String, String> texts = new TreeMap<>();
             try (Stream<Path> files = Files.list(folder)) {
-                for (Path file : files.toList()) {
+                for (Path file : files.filter(TestFleet::isServiceFile).toList()) {
                     texts.put(file.getFileName().toString(), Files.readString(file));
                 }
             }
@@ -124,6 +124,10 @@
         }
     }
 
+    private static boolean isServiceFile(Path file) {
+        return file.toString().endsWith(".ini");
+    }
+
     /** Returns a client of the platform's service. */
     public HttpKeyValueStore store() {
         return new HttpKeyValueStore(vertx, platformAddress, STORE_TIMEOUT);
