Add the command line: validate, publish, config show and history

Cause: operators steer by publishing files and need one tool for it.

Change: one table of commands drives the parser; options use the same value forms as service files, so they refuse with the same words. Faults between files now name the file and line of the file to blame.

--- /dev/null
+++ b/cli/src/main/java/org/crocusgrade/cli/CommandLine.java
@@ -0,0 +1,148 @@
+package org.crocusgrade.cli;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.Argument;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.crocusgrade.core.config.ValueForm;
+
+/** Turns the table of commands into a parser, and arguments into a command with its values. */
+final class CommandLine {
+    private static final String COMMAND = "command name";
+    private static final int WIDTH = 100;
+
+    private final Map<String, Command> commands = new LinkedHashMap<>();
+    private final ArgumentParser parser;
+
+    /** A command with its options' values. */
+    record Parsed(Command command, Map<String, Object> values) {}
+
+    CommandLine(List<Command> all) {
+        parser =
+                ArgumentParsers.newFor("crocusgrade")
+                        .terminalWidthDetection(false)
+                        .defaultFormatWidth(WIDTH)
+                        .build()
+                        .defaultHelp(false)
+                        .description("Shows and publishes what a crocusgrade deployment does.")
+                        .epilog(
+                                "Exit codes: 0 done, 1 refused, 2 usage, 3 the platform or a daemon"
+                                        + " was not reached.");
+        Subparsers top = parser.addSubparsers().title("commands").metavar("COMMAND");
+        Map<String, Subparsers> groups = new HashMap<>();
+        for (Command command : all) {
+            commands.put(command.name(), command);
+            String[] words = command.name().split(" ");
+            Subparsers into = words.length == 1 ? top : group(top, groups, words[0]);
+            ArgumentParser sub =
+                    into.addParser(words[words.length - 1], true)
+                            .help(command.help())
+                            .description(command.help())
+                            .setDefault(COMMAND, command.name());
+            options(command).forEach(option -> add(sub, option));
+        }
+    }
+
+    /** Parses arguments. */
+    Parsed parse(String... args) throws ArgumentParserException, CliException {
+        Namespace parsed = parser.parseArgs(args);
+        Command command = commands.get(parsed.getString(COMMAND));
+        Map<String, Object> values = new HashMap<>();
+        for (Option<?> option : options(command)) {
+            Object value = value(option, parsed);
+            if (value != null) {
+                values.put(option.name(), value);
+            }
+        }
+        return new Parsed(command, values);
+    }
+
+    /** Returns the usage with what was wrong. */
+    String usage(ArgumentParserException e) {
+        StringWriter text = new StringWriter();
+        e.getParser().handleError(e, new PrintWriter(text, true));
+        return text.toString();
+    }
+
+    private static Subparsers group(Subparsers top, Map<String, Subparsers> groups, String word) {
+        return groups.computeIfAbsent(
+                word,
+                w ->
+                        top.addParser(w, true)
+                                .help(w + " COMMAND; see " + w + " -h")
+                                .addSubparsers()
+                                .title("commands")
+                                .metavar("COMMAND"));
+    }
+
+    private static List<Option<?>> options(Command command) {
+        List<Option<?>> all = new ArrayList<>(command.options());
+        all.addAll(CommonOptions.all());
+        return all;
+    }
+
+    private static void add(ArgumentParser sub, Option<?> option) {
+        Argument argument = sub.addArgument(option.name()).help(help(option));
+        boolean dashed = option.name().startsWith("-");
+        switch (option.arity()) {
+            case FLAG -> argument.action(Arguments.storeTrue());
+            case MANY -> {
+                argument.nargs("+");
+                if (dashed) {
+                    argument.required(true);
+                }
+            }
+            case ANY -> argument.nargs("*");
+            case REQUIRED -> {
+                if (dashed) {
+                    argument.required(true);
+                }
+            }
+            default -> {
+                if (!dashed) {
+                    argument.nargs("?");
+                }
+            }
+        }
+    }
+
+    private static String help(Option<?> option) {
+        if (option.arity() == Option.Arity.FLAG) {
+            return option.help();
+        }
+        return (option.help() + ": " + option.form().accepted()).replace("%", "%%");
+    }
+
+    private static Object value(Option<?> option, Namespace parsed) throws CliException {
+        Object raw = parsed.get(option.name().replaceFirst("^-+", "").replace('-', '_'));
+        if (raw == null) {
+            return option.absent();
+        }
+        if (raw instanceof Boolean flag) {
+            return flag;
+        }
+        if (raw instanceof List<?> many) {
+            return values(option.name(), many, option.form());
+        }
+        return CommonOptions.parse(option.name(), raw.toString(), option.form());
+    }
+
+    private static <T> List<T> values(String name, List<?> raw, ValueForm<T> form)
+            throws CliException {
+        List<T> values = new ArrayList<>();
+        for (Object each : raw) {
+            values.add(CommonOptions.parse(name, each.toString(), form));
+        }
+        return values;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/crocusgrade/cli/Commands.java
@@ -0,0 +1,16 @@
+package org.crocusgrade.cli;
+
+import java.util.List;
+
+/** The table of all commands, in the order of the help. */
+final class Commands {
+    /** Every command. */
+    static final List<Command> ALL =
+            List.of(
+                    new ValidateCommand(),
+                    new PublishCommand(),
+                    new ConfigShowCommand(),
+                    new ConfigHistoryCommand());
+
+    private Commands() {}
+}
--- /dev/null
+++ b/cli/src/main/java/org/crocusgrade/cli/CommonOptions.java
@@ -0,0 +1,91 @@
+package org.crocusgrade.cli;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.crocusgrade.core.config.ConfigException;
+import org.crocusgrade.core.config.IniDocument;
+import org.crocusgrade.core.config.Problems;
+import org.crocusgrade.core.config.ServiceFileReader;
+import org.crocusgrade.core.config.ValueException;
+import org.crocusgrade.core.config.ValueForm;
+import org.crocusgrade.core.config.ValueForms;
+
+/** The options that every command has, or that several share. */
+final class CommonOptions {
+    static final Option<Boolean> JSON = Option.flag("--json", "print JSON");
+    static final Option<InetSocketAddress> PLATFORM =
+            Option.of("--platform", ValueForms.address(), null, "the platform's service");
+    static final Option<Duration> TIMEOUT =
+            Option.of(
+                    "--timeout",
+                    ValueForms.duration(Duration.ofMillis(100), Duration.ofMinutes(5)),
+                    Duration.ofSeconds(30),
+                    "the longest wait");
+
+    static final String PLATFORM_VARIABLE = "CROCUSGRADE_PLATFORM";
+    static final String CLIENT_VARIABLE = "CROCUSGRADE_CLIENT";
+
+    private CommonOptions() {}
+
+    /** Returns the options of every command. */
+    static List<Option<?>> all() {
+        return List.of(JSON);
+    }
+
+    /** Returns the platform's address: from the option, the environment, or the client's file. */
+    static InetSocketAddress platform(Invocation call) throws CliException {
+        InetSocketAddress given = call.get(PLATFORM);
+        if (given != null) {
+            return given;
+        }
+        String variable = call.environment(PLATFORM_VARIABLE);
+        if (variable != null) {
+            return parse(PLATFORM_VARIABLE, variable, ValueForms.address());
+        }
+        String file = call.environment(CLIENT_VARIABLE);
+        if (file != null) {
+            return fromFile(Path.of(file));
+        }
+        throw new CliException(CliMessage.NO_PLATFORM);
+    }
+
+    static <T> T parse(String name, String text, ValueForm<T> form) throws CliException {
+        try {
+            return form.parse(text);
+        } catch (ValueException e) {
+            throw new CliException(
+                    CliMessage.BAD_ARGUMENT, name, form.shown(text), form.accepted());
+        }
+    }
+
+    /** Reads a file's bytes, no more than a file may have and one. */
+    static byte[] readFile(Path file) throws CliException {
+        try (var in = Files.newInputStream(file)) {
+            return in.readNBytes(ServiceFileReader.MAX_FILE_BYTES + 1);
+        } catch (IOException e) {
+            throw new CliException(CliMessage.UNREADABLE_FILE, file, reason(e));
+        }
+    }
+
+    private static String reason(IOException e) {
+        return e instanceof java.nio.file.NoSuchFileException ? "no such file" : e.toString();
+    }
+
+    private static InetSocketAddress fromFile(Path file) throws CliException {
+        Problems problems = new Problems(file.toString());
+        try {
+            IniDocument doc = IniDocument.read(readFile(file), problems);
+            InetSocketAddress address =
+                    doc.required("platform", "service", ValueForms.address(), problems);
+            doc.refuseRest(problems);
+            problems.check();
+            return address;
+        } catch (ConfigException e) {
+            throw new CliException(e.problems());
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/crocusgrade/cli/Table.java
@@ -0,0 +1,54 @@
+package org.crocusgrade.cli;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A table for people: columns as wide as their longest cell, numbers to the right. */
+public final class Table {
+    private static final String GAP = "  ";
+
+    private final List<List<String>> rows = new ArrayList<>();
+
+    /** Makes a table with its headings. */
+    public Table(String... headings) {
+        rows.add(List.of(headings));
+    }
+
+    /** Adds a row; a missing value shows as a dash. */
+    public Table row(Object... cells) {
+        List<String> row = new ArrayList<>();
+        for (Object cell : cells) {
+            row.add(cell == null || cell.toString().isEmpty() ? "-" : cell.toString());
+        }
+        rows.add(row);
+        return this;
+    }
+
+    @Override
+    public String toString() {
+        int columns = rows.get(0).size();
+        StringBuilder text = new StringBuilder();
+        for (List<String> row : rows) {
+            StringBuilder line = new StringBuilder();
+            for (int i = 0; i < columns; i++) {
+                String cell = i < row.size() ? row.get(i) : "";
+                String pad = " ".repeat(width(i) - cell.length());
+                line.append(i == 0 ? "" : GAP);
+                line.append(isNumber(cell) ? pad + cell : cell + pad);
+            }
+            text.append(line.toString().stripTrailing()).append('\n');
+        }
+        return text.toString();
+    }
+
+    private int width(int column) {
+        return rows.stream()
+                .mapToInt(row -> column < row.size() ? row.get(column).length() : 0)
+                .max()
+                .orElse(0);
+    }
+
+    private static boolean isNumber(String cell) {
+        return !cell.isEmpty() && Character.isDigit(cell.charAt(0)) && !cell.contains(":");
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/crocusgrade/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package org.crocusgrade.cli;
--- a/core/src/main/java/org/crocusgrade/core/config/ConfigBundle.java
+++ b/core/src/main/java/org/crocusgrade/core/config/ConfigBundle.java
@@ -62,7 +62,7 @@
             files.put(blob, text);
             parsed.put(blob, config);
             services.put(e.getKey(), config);
-            named.add(new NamedService(e.getKey().value(), config));
+            named.add(new NamedService(e.getKey().value(), text, config));
         }
         FleetRules.check(named);
         FleetConfig fleet = new FleetConfig(head.version(), head.publish(), services);
--- a/core/src/main/java/org/crocusgrade/core/config/ConfigChange.java
+++ b/core/src/main/java/org/crocusgrade/core/config/ConfigChange.java
@@ -15,12 +15,15 @@
  *
  * @param put the new files by service, checked one by one
  * @param remove the services that go
+ * @param names the new files' names by service, for messages
  */
-public record ConfigChange(Map<ServiceId, String> put, Set<ServiceId> remove) {
+public record ConfigChange(
+        Map<ServiceId, String> put, Set<ServiceId> remove, Map<ServiceId, String> names) {
     /** Copies the collections. */
     public ConfigChange {
         put = Map.copyOf(put);
         remove = Set.copyOf(remove);
+        names = Map.copyOf(names);
     }
 
     /**
@@ -49,7 +52,7 @@
         if (!problems.isEmpty()) {
             throw new ConfigException(problems);
         }
-        return new ConfigChange(put, remove);
+        return new ConfigChange(put, remove, names);
     }
 
     /** Returns the services that the change puts or removes. */
@@ -74,12 +77,24 @@
         return files;
     }
 
-    /** Returns the warnings of a bundle with the change applied. */
-    public static List<ConfigProblem> warnings(ConfigBundle bundle) throws ConfigException {
+    /**
+     * Checks what the change makes of a head, with the files' own names in the messages.
+     *
+     * @return the warnings
+     */
+    public List<ConfigProblem> check(ConfigBundle base) throws ConfigException {
         List<NamedService> named = new ArrayList<>();
-        bundle.fleet()
-                .services()
-                .forEach((id, config) -> named.add(new NamedService(id.value(), config)));
+        for (ServiceId service : base.head().services().keySet()) {
+            if (!touched().contains(service)) {
+                ServiceConfig config = base.fleet().services().get(service);
+                named.add(new NamedService("published " + service, base.text(service), config));
+            }
+        }
+        for (Map.Entry<ServiceId, String> file : new TreeMap<>(put).entrySet()) {
+            String name = names.getOrDefault(file.getKey(), file.getKey().value());
+            ServiceConfig config = ServiceFileReader.read(name, file.getValue());
+            named.add(new NamedService(name, file.getValue(), config));
+        }
         return FleetRules.check(named);
     }
 
--- a/core/src/main/java/org/crocusgrade/core/config/FleetRules.java
+++ b/core/src/main/java/org/crocusgrade/core/config/FleetRules.java
@@ -1,5 +1,6 @@
 package org.crocusgrade.core.config;
 
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -24,12 +25,13 @@
      * One service with the file that describes it.
      *
      * @param file the file's name, for messages
+     * @param text the file's text, from which a fault's line is found
      * @param config the checked file
      */
-    public record NamedService(String file, ServiceConfig config) {}
+    public record NamedService(String file, String text, ServiceConfig config) {}
 
     /**
-     * Checks all services together.
+     * Checks all services together; of two that clash, the later one is blamed.
      *
      * @return the warnings
      * @throws ConfigException with every fault, if one refuses the configuration
@@ -60,10 +62,11 @@
         for (NamedService s : services) {
             String before = files.putIfAbsent(s.config().service(), s.file());
             if (before != null) {
-                problems.addFor(
-                        s.file(),
+                add(
+                        s,
                         ConfigMessage.DUPLICATE_SERVICE,
-                        "[service] name",
+                        "service",
+                        "name",
                         "each service once",
                         s.config().service(),
                         before);
@@ -76,10 +79,11 @@
         for (NamedService s : services) {
             ServiceId before = owners.putIfAbsent(s.config().pool(), s.config().service());
             if (before != null && !before.equals(s.config().service())) {
-                problems.addFor(
-                        s.file(),
+                add(
+                        s,
                         ConfigMessage.POOL_TAKEN,
-                        "[service] pool",
+                        "service",
+                        "pool",
                         "a pool of the service's own",
                         s.config().pool(),
                         before);
@@ -89,10 +93,11 @@
         for (NamedService s : services) {
             for (PoolId lender : s.config().capacity().borrowFrom()) {
                 if (!pools.contains(lender)) {
-                    problems.addFor(
-                            s.file(),
+                    add(
+                            s,
                             ConfigMessage.UNKNOWN_POOL,
-                            "[capacity] borrow-from",
+                            "capacity",
+                            "borrow-from",
                             String.join(", ", pools.stream().sorted().map(PoolId::value).toList()),
                             lender);
                 }
@@ -108,14 +113,33 @@
         for (NamedService s : services) {
             int max = s.config().capacity().maxWorkers();
             if (max > usual) {
-                problems.addFor(
-                        s.file(),
-                        ConfigMessage.MAX_OVER_FLEET,
-                        "[capacity] max-workers",
-                        "",
-                        max,
-                        usual);
+                add(s, ConfigMessage.MAX_OVER_FLEET, "capacity", "max-workers", "", max, usual);
             }
         }
     }
+
+    private void add(
+            NamedService s,
+            ConfigMessage message,
+            String section,
+            String key,
+            String accepted,
+            Object... details) {
+        problems.addFor(
+                s.file(),
+                line(s, section, key),
+                message,
+                "[" + section + "] " + key,
+                accepted,
+                details);
+    }
+
+    private static int line(NamedService s, String section, String key) {
+        try {
+            byte[] content = s.text().getBytes(StandardCharsets.UTF_8);
+            return IniDocument.read(content, new Problems(s.file())).line(section, key);
+        } catch (ConfigException e) {
+            return 0;
+        }
+    }
 }
--- a/core/src/main/java/org/crocusgrade/core/config/IniDocument.java
+++ b/core/src/main/java/org/crocusgrade/core/config/IniDocument.java
@@ -75,6 +75,13 @@
         return found;
     }
 
+    /** Returns every value by its section and key, in the file's order. */
+    public Map<String, String> values() {
+        Map<String, String> values = new LinkedHashMap<>();
+        entries.forEach(e -> values.put(e.label(), e.value()));
+        return values;
+    }
+
     /** Returns the line of a key, or of its section, or 0. */
     public int line(String section, String key) {
         IniEntry entry = byLabel.get("[" + section + "] " + key);
--- a/core/src/main/java/org/crocusgrade/core/config/Problems.java
+++ b/core/src/main/java/org/crocusgrade/core/config/Problems.java
@@ -34,15 +34,24 @@
 
     /** Adds a fault between files, told of one of them. */
     void addFor(
-            String named, ConfigMessage message, String key, String accepted, Object... details) {
+            String named,
+            int line,
+            ConfigMessage message,
+            String key,
+            String accepted,
+            Object... details) {
         if (list.size() < MAX_PROBLEMS) {
-            list.add(new ConfigProblem(message, message.text(details), named, 0, key, accepted));
+            list.add(new ConfigProblem(message, message.text(details), named, line, key, accepted));
         }
     }
 
-    /** Returns the faults so far, in the order of lines. */
+    /** Returns the faults so far, file by file in the order of lines. */
     public List<ConfigProblem> list() {
-        return list.stream().sorted(Comparator.comparingInt(ConfigProblem::line)).toList();
+        return list.stream()
+                .sorted(
+                        Comparator.comparing(ConfigProblem::file)
+                                .thenComparingInt(ConfigProblem::line))
+                .toList();
     }
 
     /** Returns whether no fault refuses the file. */
--- a/core/src/main/java/org/crocusgrade/core/config/ValueForms.java
+++ b/core/src/main/java/org/crocusgrade/core/config/ValueForms.java
@@ -1,8 +1,6 @@
 package org.crocusgrade.core.config;
 
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.UnknownHostException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HexFormat;
@@ -12,16 +10,13 @@
 import java.util.function.Function;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.crocusgrade.core.misc.Addresses;
 
 /** The forms of values in service files and settings. */
 public final class ValueForms {
     private static final Pattern NUMBER = Pattern.compile("[0-9]{1,15}");
     private static final Pattern QUANTITY = Pattern.compile("([0-9]{1,12})([A-Za-z]{0,3})");
-    private static final Pattern IPV4 =
-            Pattern.compile("([0-9]{1,3}\\.[0-9]{1,3}\\.[0-9]{1,3}\\.[0-9]{1,3}):([0-9]{1,5})");
-    private static final Pattern IPV6 = Pattern.compile("\\[([0-9A-Fa-f:.]{2,45})\\]:([0-9]{1,5})");
     private static final Pattern HEX = Pattern.compile("(?:[0-9A-Fa-f]{2})+");
-    private static final int MAX_PORT = 65535;
 
     private static final Map<String, Duration> TIME_UNITS = new LinkedHashMap<>();
     private static final Map<String, Long> SIZE_UNITS = new LinkedHashMap<>();
@@ -230,20 +225,9 @@
     }
 
     private static InetSocketAddress socket(String text) throws ValueException {
-        Matcher m = IPV4.matcher(text);
-        if (!m.matches()) {
-            m = IPV6.matcher(text);
-        }
-        if (!m.matches()) {
-            throw new ValueException(ConfigMessage.BAD_VALUE);
-        }
-        int port = Integer.parseInt(m.group(2));
-        if (port > MAX_PORT) {
-            throw new ValueException(ConfigMessage.OUT_OF_RANGE);
-        }
         try {
-            return new InetSocketAddress(InetAddress.getByName(m.group(1)), port);
-        } catch (UnknownHostException e) {
+            return Addresses.parse(text);
+        } catch (IllegalArgumentException e) {
             throw new ValueException(ConfigMessage.BAD_VALUE);
         }
     }
