Let a session's output hold comments and blank lines

Cause: the runner took such lines of a golden session for its own. Change: it skips what stands between a command and its exit code. The same lines are compared as before.

--- a/cli/src/test/java/org/crocusgrade/cli/SessionsTest.java
+++ b/cli/src/test/java/org/crocusgrade/cli/SessionsTest.java
@@ -60,7 +60,13 @@
         String platform = Addresses.format(address);
         List<String> played = new ArrayList<>();
         try {
+            boolean output = false;
             for (String line : Files.readAllLines(file)) {
+                if (output) {
+                    output = !line.startsWith("[exit ");
+                    continue;
+                }
+                output = line.startsWith("$ ");
                 if (line.startsWith("#") || line.isEmpty()) {
                     played.add(line);
                 } else if (line.startsWith("% ")) {
