--- /dev/null
+++ b/bench/src/main/java/org/crocusgrade/bench/trial/ServiceRow.java
@@ -0,0 +1,60 @@
+package org.crocusgrade.bench.trial;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import org.crocusgrade.core.dispatch.Outcome;
+import org.crocusgrade.core.id.ServiceId;
+import org.crocusgrade.standin.load.CallRecord;
+
+/** What the callers of one service were told, in numbers. */
+final class ServiceRow {
+    private static final long MAX_WAIT_MICROS = TimeUnit.HOURS.toMicros(1);
+    private static final int DIGITS = 3;
+
+    final ServiceId service;
+    final Map<String, Integer> notRun = new TreeMap<>();
+    final Map<String, Integer> unknown = new TreeMap<>();
+    private final Histogram waits = new Histogram(MAX_WAIT_MICROS, DIGITS);
+    int sent;
+    int completed;
+    int givenUp;
+    int unanswered;
+
+    ServiceRow(ServiceId service) {
+        this.service = service;
+    }
+
+    void add(CallRecord call) {
+        sent++;
+        if (call.outcome().isEmpty()) {
+            if (call.reason().equals(CallRecord.GIVEN_UP)) {
+                givenUp++;
+            } else {
+                unanswered++;
+            }
+            return;
+        }
+        if (call.was(Outcome.COMPLETED)) {
+            completed++;
+            long micros = call.waited().toNanos() / 1000;
+            waits.recordValue(Math.min(micros, MAX_WAIT_MICROS));
+            return;
+        }
+        Map<String, Integer> reasons = call.was(Outcome.NOT_RUN) ? notRun : unknown;
+        reasons.merge(call.reason(), 1, Integer::sum);
+    }
+
+    int notRunCount() {
+        return notRun.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    int unknownCount() {
+        return unknown.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    double waitMillis(double percentile) {
+        return waits.getValueAtPercentile(percentile) / 1000.0;
+    }
+}
