Hand configuration from daemon to daemon

Cause: a waiting watch counts as a call, and a daemon that boots with the store down must get the configuration from the others.

Change: one daemon per zone waits at the platform and hands new versions on along a tree; digests between random pairs find whom the tree left out. An intake takes a version only whole, checked and newer.

--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/configuration/ConfigExchange.java
@@ -0,0 +1,193 @@
+package org.crocusgrade.daemon.configuration;
+
+import com.google.common.flogger.FluentLogger;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.crocusgrade.core.config.BlobId;
+import org.crocusgrade.core.config.ConfigBundle;
+import org.crocusgrade.core.config.ConfigException;
+import org.crocusgrade.core.config.ConfigHead;
+import org.crocusgrade.core.config.ConfigHeadCodec;
+import org.crocusgrade.core.config.ConfigIntake;
+import org.crocusgrade.core.config.SpreadTree;
+import org.crocusgrade.core.id.AvailabilityZone;
+import org.crocusgrade.core.id.ConfigVersion;
+import org.crocusgrade.core.id.DaemonId;
+import org.crocusgrade.core.misc.Addresses;
+import org.crocusgrade.peer.proto.ConfigDigestMessage;
+import org.crocusgrade.peer.proto.ConfigPullMessage;
+import org.crocusgrade.peer.proto.ConfigPushMessage;
+import org.crocusgrade.peer.proto.Envelope;
+
+/**
+ * Hands configuration from daemon to daemon, and holds the newest. Everything runs on one thread
+ * but {@link #held}.
+ */
+public final class ConfigExchange {
+    /** How many others each daemon hands a new configuration to. */
+    public static final int FAN_OUT = 8;
+
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    private final DaemonId self;
+    private final InetSocketAddress address;
+    private final BiConsumer<DaemonId, Envelope> send;
+    private final BiConsumer<DaemonId, InetSocketAddress> setAddress;
+    private final Consumer<ConfigBundle> listener;
+    private final int fanOut;
+    private final ConfigIntake intake = new ConfigIntake();
+    private volatile ConfigBundle held = ConfigBundle.EMPTY;
+    private Map<DaemonId, AvailabilityZone> members = Map.of();
+    private SpreadTree tree;
+    private boolean heard;
+
+    /**
+     * Makes an exchange.
+     *
+     * @param address where this daemon listens for peers
+     * @param send sends a message, or drops it
+     * @param setAddress tells the link where a daemon listens that is not in the member list
+     * @param listener gets each newer configuration
+     */
+    public ConfigExchange(
+            DaemonId self,
+            InetSocketAddress address,
+            BiConsumer<DaemonId, Envelope> send,
+            BiConsumer<DaemonId, InetSocketAddress> setAddress,
+            Consumer<ConfigBundle> listener,
+            int fanOut) {
+        this.self = self;
+        this.address = address;
+        this.send = send;
+        this.setAddress = setAddress;
+        this.listener = listener;
+        this.fanOut = fanOut;
+        this.tree = new SpreadTree(members, fanOut);
+    }
+
+    /** Returns the configuration in force, from any thread. */
+    public ConfigBundle held() {
+        return held;
+    }
+
+    /** Returns whether another daemon has told its version since the start. */
+    public boolean heard() {
+        return heard;
+    }
+
+    /** Takes the member list. */
+    public void setMembers(Map<DaemonId, AvailabilityZone> next) {
+        members = Map.copyOf(next);
+        tree = new SpreadTree(members, fanOut);
+    }
+
+    /** Returns whether this daemon is to wait at the platform for its zone. */
+    public boolean isWatcher(AvailabilityZone zone) {
+        return tree.watcher(zone).map(self::equals).orElse(true);
+    }
+
+    /** Takes a configuration read from the platform, and hands it on if it is newer. */
+    public void onStore(ConfigBundle bundle) {
+        ConfigBundle before = held;
+        if (intake.take(bundle) == ConfigIntake.Result.TAKEN) {
+            inForce(before, self);
+        }
+    }
+
+    /** Tells another daemon the version held; it answers if either side lacks one. */
+    public void greet(DaemonId to) {
+        send.accept(to, ConfigMessages.digest(held.head().version(), address));
+    }
+
+    /** Takes another daemon's version. */
+    public void onDigest(DaemonId from, ConfigDigestMessage message) {
+        heard = true;
+        learn(from, message.getAddress());
+        ConfigVersion theirs = new ConfigVersion(message.getVersion());
+        int order = held.head().version().compareTo(theirs);
+        if (order > 0) {
+            ConfigMessages.push(held, List.of(), Optional.empty())
+                    .forEach(m -> send.accept(from, m));
+        } else if (order < 0) {
+            send.accept(from, ConfigMessages.pull(List.of(), address));
+        }
+    }
+
+    /** Answers with the head and the files asked for. */
+    public void onPull(DaemonId from, ConfigPullMessage message) {
+        learn(from, message.getAddress());
+        Map<BlobId, String> all = held.missingFrom(ConfigHead.NONE);
+        List<String> files = new ArrayList<>();
+        for (String wanted : message.getFilesList()) {
+            String file = all.get(new BlobId(wanted));
+            if (file != null) {
+                files.add(file);
+            }
+        }
+        ConfigMessages.push(held, files, Optional.empty()).forEach(m -> send.accept(from, m));
+    }
+
+    /** Takes a head and files, asks for what is missing, hands the whole on. */
+    public void onPush(DaemonId from, ConfigPushMessage message) {
+        heard = true;
+        ConfigBundle before = held;
+        try {
+            ConfigHead head = ConfigHeadCodec.read(message.getHead().toByteArray());
+            switch (intake.take(head, message.getFilesList())) {
+                case TAKEN -> inForce(before, root(message));
+                case INCOMPLETE -> askForRest(from, message);
+                default -> {}
+            }
+        } catch (ConfigException e) {
+            logger.atWarning().log("config: refused what %s sent: %s", from, e.getMessage());
+        }
+    }
+
+    /** Asks for files unless the rest of a tree's message in several parts is still to come. */
+    private void askForRest(DaemonId from, ConfigPushMessage message) {
+        boolean moreComes = !message.getRoot().isEmpty() && message.getFilesCount() > 0;
+        if (!moreComes) {
+            Collection<BlobId> lacking = intake.lacking();
+            send.accept(from, ConfigMessages.pull(lacking, address));
+        }
+    }
+
+    private DaemonId root(ConfigPushMessage message) {
+        return message.getRoot().isEmpty() ? self : new DaemonId(message.getRoot());
+    }
+
+    private void inForce(ConfigBundle before, DaemonId root) {
+        held = intake.held();
+        logger.atInfo().log("config: version %d is in force", held.head().version().value());
+        Collection<String> files = held.missingFrom(before.head()).values();
+        List<Envelope> messages = null;
+        for (DaemonId child : tree.children(self, root)) {
+            if (messages == null) {
+                messages = ConfigMessages.push(held, files, Optional.of(root));
+            }
+            messages.forEach(m -> send.accept(child, m));
+        }
+        listener.accept(held);
+    }
+
+    private void learn(DaemonId from, String text) {
+        if (!members.containsKey(from) && !text.isEmpty()) {
+            setAddress.accept(from, Addresses.parse(text));
+        }
+    }
+
+    /** Returns the versions' common form for status pages. */
+    public Map<String, Object> status() {
+        Map<String, Object> status = new HashMap<>();
+        status.put("version", held.head().version().value());
+        status.put("publish", held.head().publish().value());
+        return status;
+    }
+}
