--- a/bench/src/main/java/org/crocusgrade/bench/dispatch/ScheduleDriver.java
+++ b/bench/src/main/java/org/crocusgrade/bench/dispatch/ScheduleDriver.java
@@ -128,14 +128,7 @@
         }
         breaches += arrivals.size() - answers.size();
         return new Result(
-                arrivals.size(),
-                inTime,
-                runs,
-                answers,
-                attempts,
-                breaches,
-                waits,
-                urgentWaits);
+                arrivals.size(), inTime, runs, answers, attempts, breaches, waits, urgentWaits);
     }
 
     private static WorkerId worker(int number) {
--- a/bench/src/test/java/org/crocusgrade/bench/dispatch/DispatchDifferentialTest.java
+++ b/bench/src/test/java/org/crocusgrade/bench/dispatch/DispatchDifferentialTest.java
@@ -95,8 +95,7 @@
                         fleet,
                         QueueDispatcher.factory(kind, bound, Duration.ofSeconds(1), seed));
         ScheduleDriver.Result naive =
-                ScheduleDriver.run(
-                        schedule, fleet, actions -> new NaiveDispatcher(actions, bound));
+                ScheduleDriver.run(schedule, fleet, actions -> new NaiveDispatcher(actions, bound));
         assertThat(own.breaches(), is(0));
         assertThat(naive.breaches(), is(0));
         assertThat(own.answers().size(), is(schedule.arrivals().size()));
