Run keyed requests at most once over all daemons

Cause: a resubmitted key could run again through another daemon. Change: the key is claimed before its request enters the queue, at the daemon that writes the key's log; a key that is taken is answered by the run that holds it, here or at its holder, else unknown; a refused request gives its claim back first, so not-run stays true. Ruled out: claiming only when a slot is free, since then an early refusal could not tell whether an earlier attempt ran. Flows of a replaced configuration now go on until their last request is answered. Conclusion: the claim sits at admission.

--- a/core/src/main/java/org/crocusgrade/core/dispatch/Reason.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/Reason.java
@@ -76,10 +76,17 @@
     /** The platform's service cannot record the claim of the key. */
     CLAIM_UNAVAILABLE(
             "claim-unavailable",
-            Outcome.NOT_RUN,
+            Outcome.UNKNOWN,
             503,
             Severity.ERROR,
             "The key cannot be claimed now."),
+    /** The request has a key, but nothing is in force here by which it could be looked up. */
+    KEY_UNCHECKED(
+            "key-unchecked",
+            Outcome.UNKNOWN,
+            503,
+            Severity.WARNING,
+            "The key could not be looked up here."),
     /** The key was claimed before and its run's end is not known. */
     CLAIM_UNRESOLVED(
             "claim-unresolved",
--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -9,8 +9,6 @@
 import io.vertx.ext.web.Router;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.UUID;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
@@ -18,24 +16,23 @@
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicReference;
 import org.crocusgrade.core.config.ConfigBundle;
-import org.crocusgrade.core.config.ServiceConfig;
 import org.crocusgrade.core.fleet.SlotPool;
 import org.crocusgrade.core.fleet.SlotTable;
 import org.crocusgrade.core.fleet.SlotTimes;
 import org.crocusgrade.core.id.BootId;
 import org.crocusgrade.core.id.DaemonId;
-import org.crocusgrade.core.id.PoolId;
-import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.core.member.MemberRecord;
 import org.crocusgrade.core.port.Clock;
+import org.crocusgrade.daemon.claim.ClaimRouter;
 import org.crocusgrade.daemon.configuration.ConfigWatcher;
 import org.crocusgrade.daemon.control.FleetSnapshot;
 import org.crocusgrade.daemon.control.FleetWatcher;
 import org.crocusgrade.daemon.control.MemberSession;
 import org.crocusgrade.daemon.edge.CallerApi;
-import org.crocusgrade.daemon.edge.FlowTable;
+import org.crocusgrade.daemon.edge.FlowManager;
+import org.crocusgrade.daemon.edge.HttpRemoteRuns;
+import org.crocusgrade.daemon.edge.KeyedRequests;
 import org.crocusgrade.daemon.edge.ServiceFlow;
 import org.crocusgrade.daemon.link.SlotMessages;
 import org.crocusgrade.daemon.metrics.DaemonMetrics;
@@ -67,7 +64,6 @@
     private final BootId boot =
             new BootId(UUID.randomUUID().toString().replace("-", "").substring(0, 16));
     private final DaemonMetrics metrics = new DaemonMetrics();
-    private final AtomicReference<FlowTable> flows = new AtomicReference<>(FlowTable.EMPTY);
     private final AtomicBoolean demandChanged = new AtomicBoolean();
     private final ScheduledExecutorService control = newControl();
     private final Vertx vertx;
@@ -79,6 +75,9 @@
     private final SlotTable table;
     private final SlotExchange exchange;
     private final WorkerClient workers;
+    private final FlowManager flows;
+    private final ClaimRouter claims;
+    private final KeyedRequests keyed;
     private FleetWatcher fleet;
     private ConfigWatcher configuration;
     private MemberSession session;
@@ -108,6 +107,31 @@
                 new SlotExchange(
                         settings.daemon(), slots, table, clock, peers::send, this::slotsChanged);
         workers = new WorkerClient(vertx);
+        flows = newFlows();
+        claims =
+                new ClaimRouter(
+                        settings.daemon(),
+                        boot,
+                        store,
+                        clock,
+                        control,
+                        () -> fleet.snapshot().members().keySet(),
+                        peers::send);
+        HttpRemoteRuns remote = new HttpRemoteRuns(vertx, clock, () -> fleet.snapshot().members());
+        keyed = new KeyedRequests(settings.daemon(), boot, clock, claims, remote);
+    }
+
+    private FlowManager newFlows() {
+        ServiceFlow.Parts parts =
+                new ServiceFlow.Parts(
+                        vertx,
+                        clock,
+                        settings.zone(),
+                        slots,
+                        workers,
+                        metrics,
+                        this::demandChanged);
+        return new FlowManager(parts, () -> vertx.nettyEventLoopGroup().next());
     }
 
     /**
@@ -123,7 +147,13 @@
             throw new DaemonException("The daemon cannot listen for peers.", e);
         }
         CallerApi callerApi =
-                new CallerApi(flows, boot, clock, metrics, settings.bounds().maxBodyBytes());
+                new CallerApi(
+                        flows.table(),
+                        boot,
+                        clock,
+                        metrics,
+                        keyed,
+                        settings.bounds().maxBodyBytes());
         OperatorApi operatorApi = new OperatorApi(metrics, this::isReady, this::status);
         callers = listen(settings.listen().callers(), callerApi.routes(vertx));
         operators = listen(settings.listen().operators(), operatorApi.routes(vertx));
@@ -166,7 +196,7 @@
                 () -> guarded(this::tick), period, period, TimeUnit.MILLISECONDS);
         long flowPeriod = FLOW_PERIOD.toMillis();
         control.scheduleWithFixedDelay(
-                () -> guarded(this::tickFlows), flowPeriod, flowPeriod, TimeUnit.MILLISECONDS);
+                () -> guarded(flows::tick), flowPeriod, flowPeriod, TimeUnit.MILLISECONDS);
     }
 
     /** Stops gracefully: goes unready, finishes what it has taken, hands its leases back. */
@@ -174,9 +204,9 @@
         stopping = true;
         logger.atInfo().log("daemon: %s stopping", settings.daemon());
         pause(settings.bounds().leaveDelay());
-        flows.get().flows().values().forEach(ServiceFlow::stop);
+        flows.stop();
         long end = clock.nanoTime() + settings.bounds().stopTimeout().toNanos();
-        while (isBusy() && clock.nanoTime() - end < 0) {
+        while (flows.isBusy() && clock.nanoTime() - end < 0) {
             pause(DRAIN_PERIOD);
         }
         close();
@@ -245,19 +275,9 @@
     private void tick() {
         racks.tick();
         metrics.setRacksOwned(racks.owned());
-        exchange.tick(wanted());
-    }
-
-    private void tickFlows() {
-        flows.get().flows().values().forEach(ServiceFlow::tick);
-    }
-
-    private Map<PoolId, Integer> wanted() {
-        Map<PoolId, Integer> wanted = new HashMap<>();
-        for (ServiceFlow flow : flows.get().flows().values()) {
-            wanted.merge(flow.config().pool(), flow.wantedSlots(), Integer::sum);
-        }
-        return wanted;
+        exchange.tick(flows.wanted());
+        claims.tick();
+        keyed.tick();
     }
 
     private void demandChanged() {
@@ -265,14 +285,13 @@
             control.execute(
                     () -> {
                         demandChanged.set(false);
-                        guarded(() -> exchange.tick(wanted()));
+                        guarded(() -> exchange.tick(flows.wanted()));
                     });
         }
     }
 
     private void slotsChanged() {
-        FleetSnapshot snapshot = fleet.snapshot();
-        flows.get().flows().values().forEach(flow -> flow.slotsChanged(snapshot));
+        flows.slotsChanged(fleet.snapshot());
     }
 
     private void onFleet(FleetSnapshot snapshot) {
@@ -285,49 +304,18 @@
     }
 
     private void onConfig(ConfigBundle bundle) {
-        Map<ServiceId, ServiceFlow> before = flows.get().flows();
-        Map<ServiceId, ServiceFlow> next = new HashMap<>();
-        ServiceFlow.Parts parts =
-                new ServiceFlow.Parts(
-                        vertx,
-                        clock,
-                        settings.zone(),
-                        slots,
-                        workers,
-                        metrics,
-                        this::demandChanged);
-        int daemons = Math.max(1, fleet.snapshot().members().size());
-        for (ServiceConfig service : bundle.fleet().services().values()) {
-            ServiceFlow old = before.get(service.service());
-            boolean same = old != null && old.config().equals(service);
-            next.put(
-                    service.service(),
-                    same
-                            ? old
-                            : new ServiceFlow(
-                                    service, parts, vertx.nettyEventLoopGroup().next(), daemons));
-        }
-        flows.set(new FlowTable(next));
+        flows.apply(bundle.fleet(), Math.max(1, fleet.snapshot().members().size()));
         metrics.setConfigVersion(bundle.head().version().value());
         slotsChanged();
     }
 
-    private boolean isBusy() {
-        for (ServiceFlow flow : flows.get().flows().values()) {
-            if (flow.queued() + flow.running() > 0) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     private boolean isReady() {
-        return !stopping && !flows.get().flows().isEmpty();
+        return !stopping && !flows.table().get().flows().isEmpty();
     }
 
     private JsonObject status() {
         JsonObject services = new JsonObject();
-        for (ServiceFlow flow : flows.get().flows().values()) {
+        for (ServiceFlow flow : flows.table().get().flows().values()) {
             services.put(
                     flow.config().service().value(),
                     new JsonObject()
@@ -395,6 +383,8 @@
                     case SLOT_GRANT ->
                             exchange.onGrant(
                                     SlotMessages.read(from, sender, message.getSlotGrant()));
+                    case CLAIM_REQUEST -> claims.onRequest(from, sender, message.getClaimRequest());
+                    case CLAIM_REPLY -> claims.onReply(message.getClaimReply());
                     default -> metrics.dropped(FrameDropReason.MALFORMED);
                 }
             } catch (IllegalArgumentException e) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/edge/CallerApi.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/edge/CallerApi.java
@@ -8,9 +8,11 @@
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import org.crocusgrade.core.claim.ClaimId;
 import org.crocusgrade.core.config.ServiceClass;
 import org.crocusgrade.core.config.ServiceConfig;
 import org.crocusgrade.core.dispatch.IdempotencyRule;
@@ -23,6 +25,7 @@
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.core.misc.Names;
 import org.crocusgrade.core.port.Clock;
+import org.crocusgrade.daemon.edge.KeyedRequests.Keyed;
 import org.crocusgrade.daemon.metrics.DaemonMetrics;
 
 /**
@@ -33,9 +36,9 @@
  */
 public final class CallerApi {
     private static final String PREFIX = "/s/";
-    private static final String KEY = "Idempotency-Key";
+    static final String KEY = "Idempotency-Key";
     private static final String TIMEOUT_MILLIS = "Crocusgrade-Timeout-Ms";
-    private static final String CUSTOMER = "Crocusgrade-Customer";
+    static final String CUSTOMER = "Crocusgrade-Customer";
     private static final CustomerId NO_CUSTOMER = new CustomerId("anonymous");
     private static final ServiceId NO_SERVICE = new ServiceId("none");
     private static final Duration MAX_TIMEOUT = Duration.ofHours(1);
@@ -46,6 +49,7 @@
     private final Clock clock;
     private final DaemonMetrics metrics;
     private final long maxBodyBytes;
+    private final KeyedRequests keyed;
     private final AtomicLong counter = new AtomicLong();
 
     /** Makes the interface over the flows in force, which are replaced whole. */
@@ -54,8 +58,10 @@
             BootId boot,
             Clock clock,
             DaemonMetrics metrics,
+            KeyedRequests keyed,
             long maxBodyBytes) {
         this.flows = flows;
+        this.keyed = keyed;
         this.boot = boot;
         this.clock = clock;
         this.metrics = metrics;
@@ -78,13 +84,9 @@
         String rest = http.uri().substring(PREFIX.length());
         int end = endOfService(rest);
         String name = rest.substring(0, end);
-        if (table.flows().isEmpty()) {
-            refuse(context, NO_SERVICE, Reason.NO_CONFIG);
-            return;
-        }
         ServiceFlow flow = Names.isName(name) ? table.flows().get(new ServiceId(name)) : null;
         if (flow == null) {
-            refuse(context, NO_SERVICE, Reason.NO_SERVICE);
+            refuse(context, NO_SERVICE, withoutService(table, http));
             return;
         }
         String path = end < rest.length() && rest.charAt(end) == '/' ? rest.substring(end) : "/";
@@ -103,25 +105,75 @@
         submit(context, flow, request, path);
     }
 
+    private static Reason withoutService(FlowTable table, HttpServerRequest http) {
+        boolean resubmitted =
+                http.getHeader(KEY) != null
+                        && !IdempotencyRule.isIdempotent(http.method().name(), "/", List.of());
+        if (resubmitted) {
+            return Reason.KEY_UNCHECKED;
+        }
+        return table.flows().isEmpty() ? Reason.NO_CONFIG : Reason.NO_SERVICE;
+    }
+
     private void submit(RoutingContext context, ServiceFlow flow, Request request, String path) {
+        Buffer sent = context.body().buffer();
+        Buffer body = sent == null ? Buffer.buffer() : sent;
+        Responder caller = responder(context, flow.config().service());
+        if (request.idempotent() || request.key().isEmpty()) {
+            onLeave(context, () -> flow.cancel(request.id()));
+            flow.submit(exchange(context.request(), request, path, body, caller));
+            return;
+        }
+        submitKeyed(context, flow, request, path, body, caller);
+    }
+
+    private void submitKeyed(
+            RoutingContext context,
+            ServiceFlow flow,
+            Request request,
+            String path,
+            Buffer body,
+            Responder caller) {
         HttpServerRequest http = context.request();
-        HttpServerResponse response = http.response();
-        Buffer body = context.body().buffer();
-        Exchange exchange =
-                new Exchange(
-                        request,
-                        http.method(),
-                        path,
-                        http.headers(),
-                        body == null ? Buffer.buffer() : body,
-                        responder(context, flow.config().service()));
+        ClaimId id =
+                ClaimId.of(
+                        flow.config().service(), request.customer(), request.key().orElseThrow());
+        String attach = http.getHeader(HttpRemoteRuns.ATTACH);
+        if (attach != null) {
+            HttpRemoteRuns.fingerprint(attach)
+                    .ifPresentOrElse(
+                            asked -> keyed.attach(id, asked, caller),
+                            () -> caller.refuse(Reason.BAD_REQUEST, Optional.empty()));
+            return;
+        }
+        long fingerprint = ClaimId.fingerprint(http.method().name(), path, body.getBytes());
+        Keyed claimed = new Keyed(id, fingerprint, request, http.method(), http.uri());
+        onLeave(
+                context,
+                () -> {
+                    if (keyed.detach(id, caller)) {
+                        flow.cancel(request.id());
+                    }
+                });
+        keyed.submit(
+                claimed,
+                caller,
+                responder -> flow.submit(exchange(http, request, path, body, responder)));
+    }
+
+    private static void onLeave(RoutingContext context, Runnable step) {
+        HttpServerResponse response = context.response();
         response.closeHandler(
                 v -> {
                     if (!response.ended()) {
-                        flow.cancel(request.id());
+                        step.run();
                     }
                 });
-        flow.submit(exchange);
+    }
+
+    private static Exchange exchange(
+            HttpServerRequest http, Request request, String path, Buffer body, Responder to) {
+        return new Exchange(request, http.method(), path, http.headers(), body, to);
     }
 
     private Request read(HttpServerRequest http, ServiceConfig config, String path) {
