--- a/bench/src/main/java/org/crocusgrade/bench/trial/TrialReport.java
+++ b/bench/src/main/java/org/crocusgrade/bench/trial/TrialReport.java
@@ -72,8 +72,6 @@
 
     /** Returns the report as one JSON object. */
     public JsonObject toJson() {
-        JsonArray services = new JsonArray();
-        rows.forEach(row -> services.add(toJson(row)));
         JsonArray promises = new JsonArray();
         for (Verdict verdict : verdicts) {
             promises.add(
@@ -83,14 +81,20 @@
                             .put("broken", verdict.broken())
                             .put("examples", new JsonArray(verdict.examples())));
         }
-        return new JsonObject()
-                .put("services", services)
+        return callsToJson()
                 .put("moves", moves)
                 .put("bufferCost", idleWorkers)
                 .put("rollOutSeconds", rollout.map(t -> t.toMillis() / 1000.0).orElse(null))
                 .put("promises", promises);
     }
 
+    /** Returns what the callers were told as one JSON object. */
+    public JsonObject callsToJson() {
+        JsonArray services = new JsonArray();
+        rows.forEach(row -> services.add(toJson(row)));
+        return new JsonObject().put("services", services);
+    }
+
     private static JsonObject toJson(ServiceRow row) {
         return new JsonObject()
                 .put("name", row.service.value())
@@ -104,8 +108,8 @@
                 .put("waitP99Ms", row.waitMillis(HIGH));
     }
 
-    /** Returns the report for people. */
-    public String toText() {
+    /** Returns what the callers were told, for people. */
+    public String callsToText() {
         StringBuilder text = new StringBuilder();
         line(
                 text,
@@ -135,6 +139,12 @@
             row.notRun.forEach((why, n) -> line(text, "%20s not run: %s %d", "", why, n));
             row.unknown.forEach((why, n) -> line(text, "%20s unknown: %s %d", "", why, n));
         }
+        return text.toString();
+    }
+
+    /** Returns the report for people. */
+    public String toText() {
+        StringBuilder text = new StringBuilder(callsToText());
         line(text, "");
         line(text, "host moves   %d", moves);
         line(text, "buffer cost  %.1f idle workers outside the spare pool, mean", idleWorkers);
--- a/cli/src/main/java/org/crocusgrade/cli/Commands.java
+++ b/cli/src/main/java/org/crocusgrade/cli/Commands.java
@@ -10,7 +10,12 @@
                     new ValidateCommand(),
                     new PublishCommand(),
                     new ConfigShowCommand(),
-                    new ConfigHistoryCommand());
+                    new ConfigHistoryCommand(),
+                    new TryCommand(),
+                    new LoadCommand(),
+                    new StandinPlatformCommand(),
+                    new StandinHostsCommand(),
+                    new StandinWorkerCommand());
 
     private Commands() {}
 }
--- a/standin/src/main/java/org/crocusgrade/standin/StandinFleet.java
+++ b/standin/src/main/java/org/crocusgrade/standin/StandinFleet.java
@@ -2,7 +2,10 @@
 
 import io.smallrye.mutiny.Uni;
 import io.vertx.mutiny.core.Vertx;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -63,6 +66,30 @@
                     IMAGE);
         }
 
+        /** Returns the host entries of workers that listen at consecutive IP numbers. */
+        public List<HostEntry> hostsAt(InetSocketAddress first) {
+            List<HostEntry> hosts = new ArrayList<>();
+            for (int i = 0; i < workers; i++) {
+                hosts.add(host(i, addressAt(first, i)));
+            }
+            return hosts;
+        }
+
+        /** Returns the same fleet with another number of workers. */
+        public Spec withWorkers(int count) {
+            return new Spec(zones, count, cores, memoryBytes);
+        }
+
+        private static InetSocketAddress addressAt(InetSocketAddress first, int index) {
+            int number = ByteBuffer.wrap(first.getAddress().getAddress()).getInt() + index;
+            byte[] ip = ByteBuffer.allocate(Integer.BYTES).putInt(number).array();
+            try {
+                return new InetSocketAddress(InetAddress.getByAddress(ip), first.getPort());
+            } catch (UnknownHostException e) {
+                throw new IllegalStateException("an IPv4 number has 4 bytes", e);
+            }
+        }
+
         /** Returns the id of a worker. */
         public static WorkerId worker(int index) {
             return new WorkerId(String.format("worker-%04d", index + 1));
@@ -92,6 +119,17 @@
         return Uni.join().all(starts).andFailFast();
     }
 
+    /** Starts all workers at consecutive IP numbers; emits their host entries. */
+    public Uni<List<HostEntry>> startAt(Vertx vertx, InetSocketAddress first) {
+        List<Uni<HostEntry>> starts = new ArrayList<>();
+        for (HostEntry host : spec.hostsAt(first)) {
+            String ip = host.address().getAddress().getHostAddress();
+            WorkerServer worker = workers.get(host.worker());
+            starts.add(worker.start(vertx, ip, first.getPort()).replaceWith(host));
+        }
+        return Uni.join().all(starts).andFailFast();
+    }
+
     /** Stops all workers. */
     public Uni<Void> stop() {
         List<Uni<Void>> stops = workers.values().stream().map(WorkerServer::stop).toList();
