Spread configuration by zone watchers and daemons

Cause: each daemon watched the head, and one that booted with the platform down had no configuration.

Change: only a zone's first daemon watches; the others are handed new versions by it, exchange versions with a random daemon every second, and read the platform every 8 to 15 s. A daemon is ready only when another has told its version or a second has passed, so that a stale read after a restart does not take it back. Settings may name seeds for a boot with the platform down.

--- a/bench/src/main/java/org/crocusgrade/bench/trial/EmbeddedDaemons.java
+++ b/bench/src/main/java/org/crocusgrade/bench/trial/EmbeddedDaemons.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.logging.Level;
 import org.crocusgrade.core.id.AvailabilityZone;
 import org.crocusgrade.core.id.DaemonId;
@@ -69,6 +70,7 @@
                 new Settings.Listen(any, any, any),
                 new Settings.Platform(platform.serviceAddress(), platform.hostsAddress()),
                 new PeerKey(KEY),
+                Map.of(),
                 Level.WARNING,
                 THREADS,
                 new Settings.Bounds(MAX_BODY_BYTES, MAX_HEADER_BYTES, STOP_TIMEOUT, LEAVE_DELAY));
--- a/cli/src/main/java/org/crocusgrade/cli/InForce.java
+++ b/cli/src/main/java/org/crocusgrade/cli/InForce.java
@@ -65,7 +65,7 @@
 
     /** Returns the version in force of a status page. */
     static long version(JsonNode status) {
-        return status.path("config").path("version").asLong(0);
+        return status.path("configVersion").asLong(0);
     }
 
     private static void pause() throws CliException {
--- a/core/src/main/java/org/crocusgrade/core/config/IniDocument.java
+++ b/core/src/main/java/org/crocusgrade/core/config/IniDocument.java
@@ -62,6 +62,29 @@
         return entry == null ? absent : parse(entry, form, problems);
     }
 
+    /** Returns a section whose keys the operator chooses; reports what is not valid. */
+    public <K, T> Map<K, T> open(
+            String section, ValueForm<K> keys, ValueForm<T> values, Problems problems) {
+        Map<K, T> found = new LinkedHashMap<>();
+        for (IniEntry entry : openSection(section)) {
+            T value = parse(entry, values, problems);
+            try {
+                K key = keys.parse(entry.key());
+                if (value != null) {
+                    found.put(key, value);
+                }
+            } catch (ValueException e) {
+                problems.add(
+                        e.reason(),
+                        entry.line(),
+                        entry.label(),
+                        keys.accepted(),
+                        Problems.shown(entry.key()));
+            }
+        }
+        return found;
+    }
+
     /** Returns the entries of a section whose keys the operator chooses, in the file's order. */
     List<IniEntry> openSection(String section) {
         asked.computeIfAbsent(section, s -> new LinkedHashSet<>());
--- a/core/src/main/java/org/crocusgrade/core/config/ServiceFileReader.java
+++ b/core/src/main/java/org/crocusgrade/core/config/ServiceFileReader.java
@@ -28,7 +28,6 @@
     private static final int MAX_SLOTS = 100_000;
     private static final int MAX_POOLS_NAMED = 100;
     private static final int MAX_PATHS = 256;
-    private static final int MAX_QUOTAS = 4_096;
 
     private static final ValueForm<Integer> WORKERS = ValueForms.integer(1, MAX_WORKERS);
     private static final ValueForm<Duration> REQUEST_TIME =
@@ -169,22 +168,9 @@
 
     private Map<CustomerId, Quota> quotas() {
         Map<CustomerId, Quota> quotas = new LinkedHashMap<>();
-        ValueForm<CustomerId> name = ValueForms.id(CustomerId::new);
-        for (IniEntry entry : doc.openSection("quotas")) {
-            Integer slots = IniDocument.parse(entry, ValueForms.integer(1, MAX_SLOTS), problems);
-            if (quotas.size() >= MAX_QUOTAS) {
-                refuseKey(ConfigMessage.OUT_OF_RANGE, entry, "at most " + MAX_QUOTAS + " quotas");
-                break;
-            }
-            try {
-                CustomerId customer = name.parse(entry.key());
-                if (slots != null) {
-                    quotas.put(customer, new Quota(slots));
-                }
-            } catch (ValueException e) {
-                refuseKey(e.reason(), entry, name.accepted());
-            }
-        }
+        ValueForm<Integer> slots = ValueForms.integer(1, MAX_SLOTS);
+        doc.open("quotas", ValueForms.id(CustomerId::new), slots, problems)
+                .forEach((customer, count) -> quotas.put(customer, new Quota(count)));
         return quotas;
     }
 
--- a/core/src/test/java/org/crocusgrade/core/config/SpreadTest.java
+++ b/core/src/test/java/org/crocusgrade/core/config/SpreadTest.java
@@ -37,6 +37,8 @@
             members.put(new DaemonId("b" + i), new AvailabilityZone("b"));
         }
         SpreadTree tree = new SpreadTree(members, fanOut);
+        DaemonId lowest = members.keySet().stream().sorted().findFirst().orElseThrow();
+        assertThat(tree.watcher(new AvailabilityZone("a")).orElseThrow(), is(lowest));
         DaemonId first = new DaemonId("a" + root % size);
         List<DaemonId> reached = new ArrayList<>(List.of(first));
         Deque<DaemonId> open = new ArrayDeque<>(reached);
--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -30,6 +30,7 @@
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.core.member.MemberRecord;
 import org.crocusgrade.core.port.Clock;
+import org.crocusgrade.daemon.configuration.ConfigExchange;
 import org.crocusgrade.daemon.configuration.ConfigWatcher;
 import org.crocusgrade.daemon.control.FleetSnapshot;
 import org.crocusgrade.daemon.control.FleetWatcher;
@@ -80,9 +81,11 @@
     private final SlotExchange exchange;
     private final WorkerClient workers;
     private FleetWatcher fleet;
-    private ConfigWatcher configuration;
+    private ConfigExchange exchangeConfig;
+    private volatile ConfigWatcher configuration;
     private MemberSession session;
     private RackKeeper racks;
+    private InetSocketAddress peerAddress;
     private HttpServer callers;
     private HttpServer operators;
     private volatile boolean stopping;
@@ -116,7 +119,6 @@
      * @throws DaemonException if an address cannot be bound
      */
     public void start() throws DaemonException {
-        InetSocketAddress peerAddress;
         try {
             peerAddress = peers.start(settings.listen().peers());
         } catch (PeerException e) {
@@ -144,7 +146,24 @@
     private void startControl(MemberRecord record) {
         fleet = new FleetWatcher(store, hosts, settings.region(), control);
         session = new MemberSession(store, record, clock, control);
-        configuration = new ConfigWatcher(store, control, this::onConfig);
+        exchangeConfig =
+                new ConfigExchange(
+                        settings.daemon(),
+                        record.peers(),
+                        peers::send,
+                        peers::setAddress,
+                        this::onConfig,
+                        ConfigExchange.FAN_OUT);
+        settings.seeds().forEach(peers::setAddress);
+        configuration =
+                new ConfigWatcher(
+                        exchangeConfig,
+                        store,
+                        settings.daemon(),
+                        settings.zone(),
+                        settings.seeds(),
+                        control,
+                        clock);
         racks =
                 new RackKeeper(
                         settings.daemon(),
@@ -215,6 +234,16 @@
         return bound(settings.listen().operators(), operators);
     }
 
+    /** Returns the configuration in force. */
+    public ConfigBundle config() {
+        return configuration.held();
+    }
+
+    /** Returns the address for peers, with the port that was bound. */
+    public InetSocketAddress peers() {
+        return peerAddress;
+    }
+
     private HttpServer listen(InetSocketAddress address, Router router) throws DaemonException {
         HttpServerOptions options =
                 new HttpServerOptions()
@@ -282,6 +311,7 @@
             }
         }
         exchange.fleetChanged(snapshot);
+        configuration.membersChanged(snapshot);
     }
 
     private void onConfig(ConfigBundle bundle) {
@@ -322,7 +352,7 @@
     }
 
     private boolean isReady() {
-        return !stopping && !flows.get().flows().isEmpty();
+        return !stopping && !flows.get().flows().isEmpty() && configuration.isSettled();
     }
 
     private JsonObject status() {
@@ -342,6 +372,8 @@
                 .put("zone", settings.zone().value())
                 .put("ready", isReady())
                 .put("configVersion", configuration.held().head().version().value())
+                .put("configPublish", configuration.held().head().publish().value())
+                .put("configSettled", configuration.isSettled())
                 .put("racksOwned", racks.owned())
                 .put("members", fleet.snapshot().members().size())
                 .put("services", services);
@@ -387,6 +419,10 @@
         }
 
         private void receive(DaemonId from, BootId sender, Envelope message) {
+            if (configuration == null) {
+                // Not started yet; senders repeat what matters.
+                return;
+            }
             try {
                 switch (message.getBodyCase()) {
                     case SLOT_DEMAND ->
@@ -395,6 +431,9 @@
                     case SLOT_GRANT ->
                             exchange.onGrant(
                                     SlotMessages.read(from, sender, message.getSlotGrant()));
+                    case CONFIG_DIGEST -> exchangeConfig.onDigest(from, message.getConfigDigest());
+                    case CONFIG_PULL -> exchangeConfig.onPull(from, message.getConfigPull());
+                    case CONFIG_PUSH -> exchangeConfig.onPush(from, message.getConfigPush());
                     default -> metrics.dropped(FrameDropReason.MALFORMED);
                 }
             } catch (IllegalArgumentException e) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/configuration/ConfigExchange.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/configuration/ConfigExchange.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -182,12 +181,4 @@
             setAddress.accept(from, Addresses.parse(text));
         }
     }
-
-    /** Returns the versions' common form for status pages. */
-    public Map<String, Object> status() {
-        Map<String, Object> status = new HashMap<>();
-        status.put("version", held.head().version().value());
-        status.put("publish", held.head().publish().value());
-        return status;
-    }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/settings/Settings.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/settings/Settings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Objects;
 import java.util.logging.Level;
 import org.crocusgrade.core.id.AvailabilityZone;
@@ -18,6 +19,7 @@
  * @param listen where it listens
  * @param platform where the platform is
  * @param peerKey the key that all daemons of the deployment share
+ * @param seeds daemons that this one asks for the configuration when the platform is down
  * @param logLevel the lowest level that is logged
  * @param threads the threads that serve requests
  * @param bounds the sizes and times that it enforces
@@ -29,6 +31,7 @@
         Listen listen,
         Platform platform,
         PeerKey peerKey,
+        Map<DaemonId, InetSocketAddress> seeds,
         Level logLevel,
         int threads,
         Bounds bounds) {
@@ -40,6 +43,7 @@
         Objects.requireNonNull(listen);
         Objects.requireNonNull(platform);
         Objects.requireNonNull(peerKey);
+        seeds = Map.copyOf(seeds);
         Objects.requireNonNull(logLevel);
         Objects.requireNonNull(bounds);
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/settings/SettingsReader.java
@@ -68,11 +68,21 @@
         Listen listen = listen();
         Platform platform = platform();
         byte[] key = required("peers", "key", ValueForms.secret(PeerKey.MIN_BYTES, MAX_KEY_BYTES));
+        Map<DaemonId, InetSocketAddress> seeds = seeds();
         Bounds bounds = bounds();
         doc.refuseRest(problems);
         problems.check();
         return new Settings(
-                daemon, region, zone, listen, platform, new PeerKey(key), level, threads, bounds);
+                daemon,
+                region,
+                zone,
+                listen,
+                platform,
+                new PeerKey(key),
+                seeds,
+                level,
+                threads,
+                bounds);
     }
 
     private Listen listen() {
@@ -107,6 +117,13 @@
         return service == null || hosts == null ? null : new Platform(service, hosts);
     }
 
+    private Map<DaemonId, InetSocketAddress> seeds() {
+        Map<DaemonId, InetSocketAddress> seeds = new LinkedHashMap<>();
+        doc.open("seeds", ValueForms.id(DaemonId::new), ValueForms.address(), problems)
+                .forEach(seeds::put);
+        return seeds;
+    }
+
     private Bounds bounds() {
         Bounds d = Bounds.DEFAULT;
         Long body =
--- a/daemon/src/test/java/org/crocusgrade/daemon/TestFleet.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/TestFleet.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.UUID;
 import java.util.logging.Level;
 import java.util.stream.Stream;
 import org.crocusgrade.core.config.ConfigChange;
@@ -99,11 +100,21 @@
                 new Settings.Listen(any, any, any),
                 new Settings.Platform(platformAddress, hostsAddress),
                 new PeerKey("a key for tests only".getBytes(StandardCharsets.UTF_8)),
+                seeds(),
                 Level.INFO,
                 2,
                 new Settings.Bounds(1 << 20, 16 << 10, Duration.ofSeconds(5), Duration.ZERO));
     }
 
+    /** Returns the daemons started before, by where they listen for peers. */
+    private Map<DaemonId, InetSocketAddress> seeds() {
+        Map<DaemonId, InetSocketAddress> seeds = new TreeMap<>();
+        for (int i = 0; i < daemons.size(); i++) {
+            seeds.put(new DaemonId("d" + i), daemons.get(i).peers());
+        }
+        return seeds;
+    }
+
     /** Publishes a folder of service files as an operator would. */
     public Publisher.Result publish(Path folder) throws IOException, ConfigException {
         HttpKeyValueStore store = store();
@@ -116,7 +127,7 @@
             }
             ConfigChange change = ConfigChange.of(texts, Set.of());
             return new Publisher(store, Clock.system())
-                    .publish(new PublishId("test-publish"), change, ConfigHead.NONE)
+                    .publish(new PublishId(UUID.randomUUID().toString()), change, ConfigHead.NONE)
                     .await()
                     .atMost(WAIT);
         } finally {
