Plan moves in the daemon that holds the planner's role

Cause: peaks were served by the pools' first workers only. Messages now go through an inbox in which each part registers its own kind.

--- a/core/src/main/java/org/crocusgrade/core/dispatch/ServiceQueue.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/ServiceQueue.java
@@ -39,6 +39,7 @@
     private static final long RETRY_DELAY_NANOS = 5_000_000L;
     private static final long FULL_PAUSE_NANOS = 20_000_000L;
     private static final long LEAVING_PAUSE_NANOS = 3_000_000_000L;
+    private static final double NANOS_PER_SECOND = 1e9;
     private static final double MIN_OFFERED_SLOTS = 0.01;
     private static final double LEAST_RETRY_AFTER_NANOS = 1e7;
     private static final double MOST_RETRY_AFTER_NANOS = 3e10;
@@ -65,6 +66,8 @@
     private volatile int wantedSlots;
     private volatile int queuedCount;
     private volatile int runningCount;
+    private volatile double offeredSlots;
+    private volatile double meanRunSeconds;
     private volatile long nextWake = Long.MAX_VALUE;
 
     /** Makes an empty queue without slots. */
@@ -418,6 +421,8 @@
         wantedSlots = wanted;
         queuedCount = waiting;
         runningCount = busy;
+        offeredSlots = offered;
+        meanRunSeconds = lanes.slotIntervalNanos(1) / NANOS_PER_SECOND;
         nextWake = computeNextWake(now, steady > 0);
     }
 
@@ -440,6 +445,16 @@
         return wantedSlots;
     }
 
+    /** Returns the slots that arrivals ask for, arrival rate times run time, from any thread. */
+    public double offeredSlots() {
+        return offeredSlots;
+    }
+
+    /** Returns the mean run time that is reckoned with, in seconds, from any thread. */
+    public double meanRunSeconds() {
+        return meanRunSeconds;
+    }
+
     /** Returns how many requests wait, from any thread. */
     public int queued() {
         return queuedCount;
--- a/core/src/main/java/org/crocusgrade/core/fleet/SlotPool.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/SlotPool.java
@@ -143,6 +143,19 @@
         return usable;
     }
 
+    /** Returns the slots on which requests run, by worker. */
+    public Map<WorkerId, Integer> running() {
+        Map<WorkerId, Integer> running = new HashMap<>();
+        for (Slot[] all : snapshot.values()) {
+            for (Slot slot : all) {
+                if (slot.isRunning()) {
+                    running.merge(slot.worker(), 1, Integer::sum);
+                }
+            }
+        }
+        return running;
+    }
+
     /** Returns the slots of a pool held, idle or running. */
     public int held(PoolId pool) {
         int n = 0;
--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -9,22 +9,26 @@
 import io.vertx.ext.web.Router;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
-import java.util.concurrent.ThreadFactory;
-import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.crocusgrade.core.config.ConfigBundle;
 import org.crocusgrade.core.fleet.SlotPool;
 import org.crocusgrade.core.fleet.SlotTable;
 import org.crocusgrade.core.fleet.SlotTimes;
+import org.crocusgrade.core.fleet.plan.DemandReport;
+import org.crocusgrade.core.fleet.plan.DemandReport.WorkerRuns;
+import org.crocusgrade.core.fleet.plan.PlanSettings;
+import org.crocusgrade.core.fleet.plan.PlanWeights;
 import org.crocusgrade.core.id.BootId;
-import org.crocusgrade.core.id.DaemonId;
+import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.member.MemberRecord;
 import org.crocusgrade.core.port.Clock;
 import org.crocusgrade.daemon.claim.ClaimRouter;
+import org.crocusgrade.daemon.concurrent.ControlThread;
 import org.crocusgrade.daemon.configuration.ConfigExchange;
 import org.crocusgrade.daemon.configuration.ConfigWatcher;
 import org.crocusgrade.daemon.control.FleetSnapshot;
@@ -35,20 +39,21 @@
 import org.crocusgrade.daemon.edge.HttpRemoteRuns;
 import org.crocusgrade.daemon.edge.KeyedRequests;
 import org.crocusgrade.daemon.edge.ServiceFlow;
+import org.crocusgrade.daemon.link.DemandMessages;
+import org.crocusgrade.daemon.link.PeerInbox;
 import org.crocusgrade.daemon.link.SlotMessages;
 import org.crocusgrade.daemon.metrics.DaemonMetrics;
 import org.crocusgrade.daemon.ops.OperatorApi;
 import org.crocusgrade.daemon.owner.RackKeeper;
 import org.crocusgrade.daemon.owner.SlotExchange;
+import org.crocusgrade.daemon.planner.PlannerRole;
 import org.crocusgrade.daemon.platform.HttpHostPlatform;
 import org.crocusgrade.daemon.platform.HttpKeyValueStore;
 import org.crocusgrade.daemon.settings.Settings;
 import org.crocusgrade.daemon.upstream.WorkerClient;
-import org.crocusgrade.peer.FrameDropReason;
 import org.crocusgrade.peer.PeerException;
-import org.crocusgrade.peer.PeerListener;
 import org.crocusgrade.peer.PeerNode;
-import org.crocusgrade.peer.proto.Envelope;
+import org.crocusgrade.peer.proto.Envelope.BodyCase;
 
 /** One daemon: wires the parts together, starts and stops them. */
 public final class Daemon {
@@ -59,6 +64,7 @@
     private static final Duration START_TIMEOUT = Duration.ofSeconds(10);
     private static final Duration DRAIN_PERIOD = Duration.ofMillis(20);
     private static final int PEER_THREADS = 1;
+    private static final PlanWeights PLAN_WEIGHTS = new PlanWeights(1, 0.05);
 
     private final Settings settings;
     private final Clock clock = Clock.system();
@@ -66,11 +72,13 @@
             new BootId(UUID.randomUUID().toString().replace("-", "").substring(0, 16));
     private final DaemonMetrics metrics = new DaemonMetrics();
     private final AtomicBoolean demandChanged = new AtomicBoolean();
-    private final ScheduledExecutorService control = newControl();
+    private final ScheduledExecutorService control = ControlThread.start("control");
+    private final ScheduledExecutorService planning = ControlThread.start("planner");
     private final Vertx vertx;
     private final io.vertx.mutiny.core.Vertx mutinyVertx;
     private final HttpKeyValueStore store;
     private final HttpHostPlatform hosts;
+    private final PeerInbox inbox = new PeerInbox(control, metrics::dropped);
     private final PeerNode peers;
     private final SlotPool slots;
     private final SlotTable table;
@@ -84,6 +92,7 @@
     private volatile ConfigWatcher configuration;
     private MemberSession session;
     private RackKeeper racks;
+    private PlannerRole planner;
     private InetSocketAddress peerAddress;
     private HttpServer callers;
     private HttpServer operators;
@@ -101,9 +110,7 @@
         mutinyVertx = io.vertx.mutiny.core.Vertx.newInstance(vertx);
         store = new HttpKeyValueStore(mutinyVertx, settings.platform().service(), STORE_TIMEOUT);
         hosts = new HttpHostPlatform(mutinyVertx, settings.platform().hosts(), STORE_TIMEOUT);
-        peers =
-                new PeerNode(
-                        settings.daemon(), boot, settings.peerKey(), new Inbox(), PEER_THREADS);
+        peers = new PeerNode(settings.daemon(), boot, settings.peerKey(), inbox, PEER_THREADS);
         slots = new SlotPool(settings.daemon(), boot, settings.zone(), SlotTimes.DEFAULT);
         table = new SlotTable(settings.daemon(), boot, SlotTimes.DEFAULT);
         exchange =
@@ -206,27 +213,69 @@
                         clock,
                         control,
                         () -> configuration.held().fleet());
+        planner =
+                new PlannerRole(
+                        settings.daemon(),
+                        boot,
+                        settings.region(),
+                        store,
+                        fleet,
+                        session,
+                        clock,
+                        control,
+                        planning,
+                        () -> configuration.held().fleet(),
+                        () -> PLAN_WEIGHTS,
+                        peers::send);
         fleet.addListener(this::onFleet);
         session.start();
         fleet.start();
         configuration.start();
-        long period = CONTROL_PERIOD.toMillis();
-        control.scheduleWithFixedDelay(
-                () -> guarded(this::tick), period, period, TimeUnit.MILLISECONDS);
-        long flowPeriod = FLOW_PERIOD.toMillis();
-        control.scheduleWithFixedDelay(
-                () -> guarded(flows::tick), flowPeriod, flowPeriod, TimeUnit.MILLISECONDS);
+        planner.start();
+        openInbox();
+        ControlThread.every(control, CONTROL_PERIOD, this::tick);
+        ControlThread.every(control, FLOW_PERIOD, flows::tick);
+        ControlThread.every(control, PlanSettings.DEFAULT.tick(), this::tickPlanner);
+    }
+
+    private void openInbox() {
+        inbox.on(
+                        BodyCase.SLOT_DEMAND,
+                        (from, run, m) ->
+                                exchange.onDemand(SlotMessages.read(from, run, m.getSlotDemand())))
+                .on(
+                        BodyCase.SLOT_GRANT,
+                        (from, run, m) ->
+                                exchange.onGrant(SlotMessages.read(from, run, m.getSlotGrant())))
+                .on(
+                        BodyCase.CLAIM_REQUEST,
+                        (from, run, m) -> claims.onRequest(from, run, m.getClaimRequest()))
+                .on(BodyCase.CLAIM_REPLY, (from, run, m) -> claims.onReply(m.getClaimReply()))
+                .on(
+                        BodyCase.DEMAND_REPORT,
+                        (from, run, m) ->
+                                planner.onReport(DemandMessages.read(from, m.getDemandReport())))
+                .on(
+                        BodyCase.CONFIG_DIGEST,
+                        (from, run, m) -> exchangeConfig.onDigest(from, m.getConfigDigest()))
+                .on(
+                        BodyCase.CONFIG_PULL,
+                        (from, run, m) -> exchangeConfig.onPull(from, m.getConfigPull()))
+                .on(
+                        BodyCase.CONFIG_PUSH,
+                        (from, run, m) -> exchangeConfig.onPush(from, m.getConfigPush()));
+        inbox.open();
     }
 
     /** Stops gracefully: goes unready, finishes what it has taken, hands its leases back. */
     public void stop() {
         stopping = true;
         logger.atInfo().log("daemon: %s stopping", settings.daemon());
-        pause(settings.bounds().leaveDelay());
+        ControlThread.pause(settings.bounds().leaveDelay());
         flows.stop();
         long end = clock.nanoTime() + settings.bounds().stopTimeout().toNanos();
         while (flows.isBusy() && clock.nanoTime() - end < 0) {
-            pause(DRAIN_PERIOD);
+            ControlThread.pause(DRAIN_PERIOD);
         }
         close();
     }
@@ -238,6 +287,7 @@
             session.leave().subscribe().with(v -> {}, failure -> {});
             fleet.stop();
             configuration.stop();
+            planner.stop();
         }
         if (callers != null) {
             callers.close();
@@ -245,8 +295,9 @@
         if (operators != null) {
             operators.close();
         }
-        pause(DRAIN_PERIOD);
+        ControlThread.pause(DRAIN_PERIOD);
         control.shutdownNow();
+        planning.shutdownNow();
         peers.stop();
         workers.close();
         store.close();
@@ -309,12 +360,25 @@
         keyed.tick();
     }
 
+    private void tickPlanner() {
+        List<WorkerRuns> runs = new ArrayList<>();
+        slots.running()
+                .forEach(
+                        (worker, running) ->
+                                runs.add(new WorkerRuns(worker, running, drainTime(worker))));
+        planner.tick(new DemandReport(settings.daemon(), flows.demand(), runs));
+    }
+
+    private Duration drainTime(WorkerId worker) {
+        return fleet.snapshot().poolOf(worker).map(flows::meanRunTime).orElse(Duration.ZERO);
+    }
+
     private void demandChanged() {
         if (demandChanged.compareAndSet(false, true)) {
             control.execute(
                     () -> {
                         demandChanged.set(false);
-                        guarded(() -> exchange.tick(flows.wanted()));
+                        ControlThread.guard(() -> exchange.tick(flows.wanted()));
                     });
         }
     }
@@ -366,69 +430,4 @@
                 .put("members", fleet.snapshot().members().size())
                 .put("services", services);
     }
-
-    private static ScheduledExecutorService newControl() {
-        ThreadFactory threads =
-                step -> {
-                    Thread thread = new Thread(step, "control");
-                    thread.setDaemon(true);
-                    return thread;
-                };
-        // Answers that arrive after the daemon was closed have nobody left to take them.
-        return new ScheduledThreadPoolExecutor(1, threads, new ThreadPoolExecutor.DiscardPolicy());
-    }
-
-    private static void guarded(Runnable step) {
-        try {
-            step.run();
-        } catch (RuntimeException e) {
-            logger.atSevere().withCause(e).log("control: step failed");
-        }
-    }
-
-    private static void pause(Duration time) {
-        try {
-            Thread.sleep(time.toMillis());
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    /** Takes the messages of the other daemons to the control thread. */
-    private final class Inbox implements PeerListener {
-        @Override
-        public void onMessage(DaemonId from, BootId sender, Envelope message) {
-            control.execute(() -> guarded(() -> receive(from, sender, message)));
-        }
-
-        @Override
-        public void onDrop(FrameDropReason reason) {
-            metrics.dropped(reason);
-        }
-
-        private void receive(DaemonId from, BootId sender, Envelope message) {
-            if (configuration == null) {
-                // Not started yet; senders repeat what matters.
-                return;
-            }
-            try {
-                switch (message.getBodyCase()) {
-                    case SLOT_DEMAND ->
-                            exchange.onDemand(
-                                    SlotMessages.read(from, sender, message.getSlotDemand()));
-                    case SLOT_GRANT ->
-                            exchange.onGrant(
-                                    SlotMessages.read(from, sender, message.getSlotGrant()));
-                    case CLAIM_REQUEST -> claims.onRequest(from, sender, message.getClaimRequest());
-                    case CLAIM_REPLY -> claims.onReply(message.getClaimReply());
-                    case CONFIG_DIGEST -> exchangeConfig.onDigest(from, message.getConfigDigest());
-                    case CONFIG_PULL -> exchangeConfig.onPull(from, message.getConfigPull());
-                    case CONFIG_PUSH -> exchangeConfig.onPush(from, message.getConfigPush());
-                    default -> metrics.dropped(FrameDropReason.MALFORMED);
-                }
-            } catch (IllegalArgumentException e) {
-                metrics.dropped(FrameDropReason.MALFORMED);
-            }
-        }
-    }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/control/FleetSnapshot.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/control/FleetSnapshot.java
@@ -3,7 +3,9 @@
 import java.util.Map;
 import java.util.Optional;
 import org.crocusgrade.core.fleet.RackRecord;
+import org.crocusgrade.core.fleet.WorkerRecord;
 import org.crocusgrade.core.id.DaemonId;
+import org.crocusgrade.core.id.PoolId;
 import org.crocusgrade.core.id.RackId;
 import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.member.MemberRecord;
@@ -43,6 +45,21 @@
         return Optional.ofNullable(hosts.get(worker));
     }
 
+    /** Returns the pool that a worker is in, if it has a record. */
+    public Optional<PoolId> poolOf(WorkerId worker) {
+        Optional<HostEntry> host = host(worker);
+        VersionedRack rack = host.map(entry -> racks.get(entry.rack())).orElse(null);
+        if (rack == null) {
+            return Optional.empty();
+        }
+        for (WorkerRecord each : rack.record().workers()) {
+            if (each.worker().equals(worker)) {
+                return Optional.of(each.pool());
+            }
+        }
+        return Optional.empty();
+    }
+
     FleetSnapshot withHosts(Map<WorkerId, HostEntry> next) {
         return new FleetSnapshot(next, racks, members);
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/edge/FlowManager.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/edge/FlowManager.java
@@ -1,5 +1,6 @@
 package org.crocusgrade.daemon.edge;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -7,10 +8,12 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import org.crocusgrade.core.config.FleetConfig;
 import org.crocusgrade.core.config.ServiceConfig;
+import org.crocusgrade.core.fleet.plan.DemandReport.PoolDemand;
 import org.crocusgrade.core.id.PoolId;
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.daemon.control.FleetSnapshot;
@@ -80,6 +83,22 @@
         return wanted;
     }
 
+    /** Returns the demand for each pool, one entry for each flow. */
+    public List<PoolDemand> demand() {
+        return all().stream().map(ServiceFlow::demand).toList();
+    }
+
+    /** Returns the mean run time of a pool's requests. */
+    public Duration meanRunTime(PoolId pool) {
+        double seconds = 0;
+        for (ServiceFlow flow : all()) {
+            if (flow.config().pool().equals(pool)) {
+                seconds = Math.max(seconds, flow.meanRunSeconds());
+            }
+        }
+        return Duration.ofMillis((long) (seconds * TimeUnit.SECONDS.toMillis(1)));
+    }
+
     /** Returns whether any request waits or runs. */
     public boolean isBusy() {
         for (ServiceFlow flow : all()) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/edge/ServiceFlow.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/edge/ServiceFlow.java
@@ -22,6 +22,7 @@
 import org.crocusgrade.core.dispatch.SlotGrant;
 import org.crocusgrade.core.fleet.Slot;
 import org.crocusgrade.core.fleet.SlotPool;
+import org.crocusgrade.core.fleet.plan.DemandReport.PoolDemand;
 import org.crocusgrade.core.id.AvailabilityZone;
 import org.crocusgrade.core.id.RequestId;
 import org.crocusgrade.core.id.WorkerId;
@@ -109,6 +110,17 @@
         return queue.wantedSlots();
     }
 
+    /** Returns this daemon's demand for the service's pool, from any thread. */
+    public PoolDemand demand() {
+        double queuedSlots = queue.queued() * queue.meanRunSeconds();
+        return new PoolDemand(config.pool(), queue.offeredSlots(), queuedSlots, queue.running());
+    }
+
+    /** Returns the mean run time that is reckoned with, in seconds, from any thread. */
+    public double meanRunSeconds() {
+        return queue.meanRunSeconds();
+    }
+
     /** Returns the requests that wait, from any thread. */
     public int queued() {
         return queue.queued();
