--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/Plan.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/Plan.java
@@ -52,7 +52,8 @@
      * @param drainTime the time until the worker is expected to serve its new pool
      * @param toSaved the cost that the taking pool is spared
      * @param fromAdded the cost that the giving pool bears; below 0 if it is spared some
-     * @param moveCost the cost of the move itself
+     * @param laterSaved the cost that pools are spared that it is expected to serve after that
+     * @param moveCost the cost of the move itself and of those expected to follow
      */
     public record Inputs(
             int fromWorkers,
@@ -62,10 +63,11 @@
             Duration drainTime,
             double toSaved,
             double fromAdded,
+            double laterSaved,
             double moveCost) {
         /** Returns what the move is worth. */
         public double gain() {
-            return toSaved - fromAdded - moveCost;
+            return toSaved - fromAdded + laterSaved - moveCost;
         }
     }
 
--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolForecast.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolForecast.java
@@ -1,42 +1,34 @@
 package org.crocusgrade.core.fleet.plan;
 
-import java.util.Arrays;
-import java.util.List;
-
 /**
- * One pool while a plan is made: its demand and capacity over the horizon, and what it would cost
- * to have one worker more or fewer.
+ * One pool over the horizon: its demand, the workers that are planned to serve it in each step, and
+ * what that costs.
  *
  * <p>Waiting is that of a fluid queue: in each step the demand comes in, the capacity serves, and
- * what is left waits on. Its cost falls ever more slowly with each worker more, and the cost of
- * idle workers grows ever faster, so their sum is convex in the number of workers. What waits at
- * the end of the horizon costs the time that the capacity then needs for it.
+ * what is left waits on. What waits at the end of the horizon costs the time that the capacity then
+ * needs for it. A step with fewer workers than the least number, or more than the greatest, costs
+ * more than any waiting.
  */
 final class PoolForecast {
+    /** The cost of one worker below the least number or above the greatest, for one step. */
+    private static final double LIMIT_COST = 1e9;
+
     final PoolView view;
     final double[] demand;
     final boolean known;
+    final int[] leaving;
     private final double stepSeconds;
     private final double idleWeight;
-    private final double queue;
-    private final int slots;
+    private final double firstQueue;
     private final double[] capacity;
-    private final double[] plusCache;
-    private double cost = Double.NaN;
-    private double minusCost = Double.NaN;
-
-    /** Workers that are capacity now. */
-    int serving;
-
-    /** Workers that are on their way here. */
-    int arriving;
-
-    /** Workers of this pool that are down, draining or leaving. */
-    int unavailable;
+    private final int[] serving;
+    private final int[] arriving;
+    private final double[] queue;
+    private int down;
+    private int slots = 1;
 
     PoolForecast(
             PoolView view,
-            List<WorkerView> workers,
             double[] demand,
             boolean known,
             PlanSettings settings,
@@ -46,59 +38,72 @@
         this.known = known;
         this.stepSeconds = settings.step().toNanos() / 1e9;
         this.idleWeight = view.capacity().spare() ? 0 : bufferWeight;
-        this.queue = known ? view.demand().orElseThrow().queuedByAll() : 0;
+        this.firstQueue = known ? view.demand().orElseThrow().queuedByAll() : 0;
         this.capacity = new double[settings.steps()];
-        this.plusCache = new double[settings.steps() + 1];
-        Arrays.fill(plusCache, Double.NaN);
-        int size = 0;
-        for (WorkerView w : workers) {
-            size = Math.max(size, w.slots());
-            if (w.pool().equals(view.pool()) && !w.serves()) {
-                unavailable++;
-            }
-            if (w.pool().equals(view.pool()) && w.serves()) {
-                serving++;
-                addCapacity(w.slots(), 0);
-            } else if (w.target().equals(view.pool()) && w.arriving()) {
-                arriving++;
-                addCapacity(w.slots(), settings.stepsOf(w.drainTime().plus(settings.moveTime())));
-            }
+        this.serving = new int[settings.steps()];
+        this.arriving = new int[settings.steps()];
+        this.leaving = new int[settings.steps()];
+        this.queue = new double[settings.steps()];
+    }
+
+    /** Counts a worker that is of this pool but no capacity over the whole horizon. */
+    void addDown() {
+        down++;
+        for (int t = 0; t < leaving.length; t++) {
+            leaving[t]++;
         }
-        this.slots = Math.max(1, size);
     }
 
-    private void addCapacity(int more, int fromStep) {
-        for (int i = fromStep; i < capacity.length; i++) {
-            capacity[i] += more;
+    /** Counts a worker that leaves over the first steps. */
+    void addLeaving(int steps) {
+        for (int t = 0; t < Math.min(steps, leaving.length); t++) {
+            leaving[t]++;
         }
     }
 
-    /** Returns the workers here and on their way here. */
-    int workers() {
-        return serving + arriving;
+    /** Adds a worker's place in one step, or takes it away again. */
+    void place(int t, int workerSlots, boolean serves, int sign) {
+        slots = Math.max(slots, workerSlots);
+        if (serves) {
+            serving[t] += sign;
+            capacity[t] += sign * workerSlots;
+        } else {
+            arriving[t] += sign;
+        }
     }
 
-    boolean belowMin() {
-        return workers() < view.capacity().minWorkers();
+    int servingNow() {
+        return serving[0];
     }
 
-    boolean atMax() {
-        return workers() + unavailable >= view.capacity().maxWorkers();
+    /** Returns the workers here and on their way here. */
+    int workers() {
+        return serving[0] + arriving[0];
     }
 
-    /** Returns the moves out that the least number and the availability budget still allow. */
-    int mayGive() {
-        int overMin = serving - view.capacity().minWorkers();
-        int inBudget = view.budget().maxUnavailable() - unavailable;
-        return Math.max(0, Math.min(overMin, inBudget));
+    int unavailableNow() {
+        return leaving[0];
     }
 
-    /** Returns the slots that the demand asks for now. */
     double slotsNow() {
         return demand[0];
     }
 
-    /** Returns the workers that the highest demand within the horizon asks for beyond these. */
+    boolean atMax() {
+        return workers() + down >= view.capacity().maxWorkers();
+    }
+
+    /** Returns whether a worker may leave over the steps within the availability budget. */
+    boolean mayLeave(int from, int steps) {
+        for (int t = from; t < Math.min(from + Math.max(1, steps), leaving.length); t++) {
+            if (leaving[t] >= view.budget().maxUnavailable()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Returns the workers that the highest demand of the horizon asks for beyond these. */
     int wanted() {
         double top = 0;
         for (double d : demand) {
@@ -107,72 +112,66 @@
         return Math.max(0, (int) Math.ceil(top / slots) - workers());
     }
 
-    /** Returns what the pool is spared by a worker more from the step on. */
-    double saved(int more, int fromStep) {
-        int step = Math.min(fromStep, capacity.length);
-        if (more != slots) {
-            return cost() - costWith(more, step);
-        }
-        if (Double.isNaN(plusCache[step])) {
-            plusCache[step] = cost() - costWith(more, step);
-        }
-        return plusCache[step];
-    }
-
-    /** Returns what the pool bears when a worker leaves at the step. */
-    double added(int fewer, int fromStep) {
-        if (fromStep > 0 || fewer != slots) {
-            return costWith(-fewer, Math.min(fromStep, capacity.length)) - cost();
-        }
-        if (Double.isNaN(minusCost)) {
-            minusCost = costWith(-fewer, 0) - cost();
+    /** Returns the cost over the horizon. */
+    double cost() {
+        double waiting = firstQueue;
+        double sum = 0;
+        for (int t = 0; t < capacity.length; t++) {
+            double work = waiting + demand[t] * stepSeconds;
+            double done = Math.min(work, capacity[t] * stepSeconds);
+            double left = work - done;
+            sum += (waiting + left) / 2 * stepSeconds;
+            double idle = (capacity[t] * stepSeconds - done) / slots;
+            sum += (idle + arriving[t] * stepSeconds) * idleWeight;
+            sum += LIMIT_COST * beyondLimits(t);
+            waiting = left;
         }
-        return minusCost;
-    }
-
-    /** Takes a worker's departure into account. */
-    void give(int fewer) {
-        serving--;
-        unavailable++;
-        addCapacity(-fewer, 0);
-        forgetCosts();
+        return known ? sum + waiting * drainSeconds(waiting) / 2 : sum;
     }
 
-    /** Takes a worker's arrival into account. */
-    void take(int more, int fromStep) {
-        arriving++;
-        addCapacity(more, fromStep);
-        forgetCosts();
+    private int beyondLimits(int t) {
+        int all = serving[t] + arriving[t] + down;
+        return Math.max(0, view.capacity().minWorkers() - serving[t])
+                + Math.max(0, all - view.capacity().maxWorkers());
     }
 
-    private void forgetCosts() {
-        cost = Double.NaN;
-        minusCost = Double.NaN;
-        Arrays.fill(plusCache, Double.NaN);
+    private double drainSeconds(double waiting) {
+        int last = capacity.length - 1;
+        return waiting / Math.max(slots / 2.0, capacity[last] - demand[last]);
     }
 
-    private double cost() {
-        if (Double.isNaN(cost)) {
-            cost = costWith(0, 0);
+    /**
+     * Fills in what one worker more would be worth in each step if it were here in that step alone.
+     *
+     * @param share how much of the time is counted for which served work would else have waited on:
+     *     1 is right for the first slot-second added, less for a whole worker
+     */
+    void rewards(double[] rewards, int workerSlots, double share) {
+        double waiting = firstQueue;
+        for (int t = 0; t < capacity.length; t++) {
+            double work = waiting + demand[t] * stepSeconds;
+            waiting = Math.max(0, work - capacity[t] * stepSeconds);
+            queue[t] = waiting;
+        }
+        double emptyIn = drainSeconds(waiting);
+        for (int t = capacity.length - 1; t >= 0; t--) {
+            emptyIn = queue[t] > 0 ? emptyIn + stepSeconds : 0;
+            double most = workerSlots * stepSeconds;
+            double used = Math.min(most, queue[t]);
+            double idle = (most - used) / workerSlots;
+            double limits = 0;
+            if (serving[t] < view.capacity().minWorkers()) {
+                limits = LIMIT_COST;
+            } else if (serving[t] + arriving[t] + down >= view.capacity().maxWorkers()) {
+                limits = -LIMIT_COST;
+            }
+            double waits = known ? used * emptyIn * share : 0;
+            rewards[t] = waits - idle * idleWeight + limits;
         }
-        return cost;
     }
 
-    private double costWith(int change, int fromStep) {
-        double waiting = queue;
-        double sum = 0;
-        double last = 0;
-        for (int i = 0; i < capacity.length; i++) {
-            double cap = Math.max(0, capacity[i] + (i >= fromStep ? change : 0));
-            double work = waiting + demand[i] * stepSeconds;
-            double done = Math.min(work, cap * stepSeconds);
-            double left = work - done;
-            sum += (waiting + left) / 2 * stepSeconds;
-            sum += (cap * stepSeconds - done) / slots * idleWeight;
-            waiting = left;
-            last = cap;
-        }
-        double free = Math.max(slots / 2.0, last - demand[demand.length - 1]);
-        return sum + waiting * waiting / (2 * free);
+    /** Returns what a worker on its way here costs in a step. */
+    double transitCost() {
+        return idleWeight * stepSeconds;
     }
 }
