Plan whole routes of workers over the horizon

Cause: weighing single moves saw every pool's next surge as a reason not to lend at all. Change: each worker's best route over 20 s is found backwards in time while the others keep theirs, weighed by its exact cost, and only what starts now is carried out; limits are checked move by move.

--- a/bench/src/main/java/org/crocusgrade/bench/plan/Compare.java
+++ b/bench/src/main/java/org/crocusgrade/bench/plan/Compare.java
@@ -11,6 +11,17 @@
     /** Step of the traces. */
     public static final Duration STEP = Duration.ofMillis(250);
 
+    /** The planner's settings for small traces, in whose steps of a second a move takes one. */
+    private static final PlanSettings SMALL =
+            new PlanSettings(
+                    PlanSettings.DEFAULT.tick(),
+                    PlanSettings.DEFAULT.step(),
+                    PlanSettings.DEFAULT.horizon(),
+                    PlanSettings.DEFAULT.dwell(),
+                    Duration.ofMillis(900),
+                    PlanSettings.DEFAULT.stale(),
+                    PlanSettings.DEFAULT.minCoverage());
+
     private Compare() {}
 
     /** Plays traces of several seeds and returns the sum of their scores, without a warm-up. */
@@ -39,7 +50,7 @@
      */
     public static Ratio overBest(Deployment weighedAs, long seed, int rounds, int warmUp) {
         Deployment fleet = Deployment.small(weighedAs);
-        PlanSettings settings = PlanSettings.DEFAULT;
+        PlanSettings settings = SMALL;
         DemandTrace trace = DemandTrace.turns(fleet, settings.tick(), rounds, seed);
         TraceDriver driver =
                 new TraceDriver(fleet, trace, new DefaultPlanner(settings), settings, seed);
--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/Candidate.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/Candidate.java
@@ -6,7 +6,6 @@
     final int pool;
     final int arrival;
     final int firstMove;
-    final int drainSteps;
     Route route;
 
     /**
@@ -16,14 +15,12 @@
      * @param pool the index of the pool that it is in or on its way to
      * @param arrival the step from which it serves that pool
      * @param firstMove the first step in which it may move
-     * @param drainSteps the steps until its running work ends
      */
-    Candidate(WorkerView view, int pool, int arrival, int firstMove, int drainSteps, int steps) {
+    Candidate(WorkerView view, int pool, int arrival, int firstMove, int steps) {
         this.view = view;
         this.pool = pool;
         this.arrival = arrival;
         this.firstMove = firstMove;
-        this.drainSteps = drainSteps;
         this.route = Route.stay(pool, arrival, steps);
     }
 }
--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/PlanRound.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/PlanRound.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -33,6 +32,9 @@
     /** Readings of the rewards that are tried, see {@link PoolForecast#rewards}. */
     private static final double[] SHARES = {1.0, 0.5};
 
+    /** Pairs of workers that are weighed against each other in one plan. */
+    private static final int MAX_TRIES = 64;
+
     /** Gains below this are rounding. */
     private static final double EPSILON = 1e-6;
 
@@ -43,7 +45,9 @@
     private final Map<PoolId, Integer> indexes = new HashMap<>();
     private final List<PoolForecast> pools = new ArrayList<>();
     private final List<Candidate> workers = new ArrayList<>();
-    private final RouteSearch search;
+    private final List<RouteSearch> searches = new ArrayList<>();
+    private final Set<Settled> settled = new HashSet<>();
+    private long version;
 
     PlanRound(FleetView view, PlanSettings settings, DemandLearner learner) {
         this.view = view;
@@ -58,7 +62,11 @@
         }
         view.workers().forEach(this::add);
         workers.sort(order());
-        this.search = new RouteSearch(settings, pools, transits(), view.weights().moveWeight());
+        int[] transits = transits();
+        double moveWeight = view.weights().moveWeight();
+        for (double share : SHARES) {
+            searches.add(new RouteSearch(settings, pools, transits, moveWeight, share));
+        }
     }
 
     private boolean known(PoolView pool) {
@@ -73,7 +81,6 @@
     private void add(WorkerView w) {
         Integer from = indexes.get(w.pool());
         Integer to = indexes.get(w.target());
-        int drain = settings.stepsOf(w.drainTime());
         int arrival = Math.max(1, settings.stepsOf(w.drainTime().plus(settings.moveTime())));
         if (from != null && w.moving()) {
             pools.get(from).addLeaving(arrival);
@@ -86,7 +93,7 @@
         Duration dwell = Duration.between(view.now(), w.lastMove().plus(settings.dwell()));
         int firstMove = dwell.isNegative() ? 0 : settings.stepsOf(dwell);
         Candidate worker =
-                new Candidate(w, to, w.moving() ? arrival : 0, firstMove, drain, settings.steps());
+                new Candidate(w, to, w.moving() ? arrival : 0, firstMove, settings.steps());
         workers.add(worker);
         place(worker, worker.route, 1);
     }
@@ -97,7 +104,7 @@
             zones.computeIfAbsent(c.view.target(), p -> new HashMap<>())
                     .merge(c.view.zone(), 1, Integer::sum);
         }
-        return Comparator.<Candidate>comparingInt(c -> c.drainSteps)
+        return Comparator.<Candidate, Duration>comparing(c -> c.view.drainTime())
                 .thenComparing(c -> !pools.get(c.pool).view.capacity().spare())
                 .thenComparing(c -> c.view.running())
                 .thenComparing(c -> -zones.get(c.view.target()).get(c.view.zone()))
@@ -107,16 +114,16 @@
     /** Returns the steps that a move out of each pool usually takes. */
     private int[] transits() {
         int[] transits = new int[pools.size()];
-        int move = settings.stepsOf(settings.moveTime());
         for (int p = 0; p < transits.length; p++) {
             int pool = p;
-            int[] drains =
+            List<Duration> drains =
                     workers.stream()
                             .filter(c -> c.pool == pool && c.arrival == 0)
-                            .mapToInt(c -> c.drainSteps)
+                            .map(c -> c.view.drainTime())
                             .sorted()
-                            .toArray();
-            transits[p] = Math.max(1, move + (drains.length == 0 ? 0 : drains[drains.length / 2]));
+                            .toList();
+            Duration usual = drains.isEmpty() ? Duration.ZERO : drains.get(drains.size() / 2);
+            transits[p] = Math.max(1, settings.stepsOf(usual.plus(settings.moveTime())));
         }
         return transits;
     }
@@ -129,38 +136,175 @@
                 changed |= improve(worker);
             }
         }
+        shorten();
+        reconsider();
+        Limits limits = new Limits(view);
         List<Plan.Move> moves = new ArrayList<>();
         for (Candidate worker : workers) {
-            if (worker.route.startsAt(0, worker.pool)) {
-                moves.add(move(worker));
+            if (!worker.route.startsAt(0, worker.pool)) {
+                continue;
+            }
+            Plan.Move move = move(worker);
+            if (limits.admit(move)) {
+                moves.add(move);
             }
         }
         return new Plan(view.now(), moves, holds(moves));
     }
 
+    /**
+     * For each worker that is to move now, tries to let one of another pool go in its place. This
+     * finds what no single worker's change can: to take a worker from a pool that surges late
+     * rather than from the one that surges next, which would have to be filled up again.
+     */
+    private void reconsider() {
+        int tries = 0;
+        for (Candidate moving : workers) {
+            for (int p = 0; p < pools.size(); p++) {
+                Candidate other = firstFree(p);
+                if (!moving.route.startsAt(0, moving.pool)) {
+                    break;
+                }
+                if (other == null || p == moving.pool || p == moving.route.pool(0)) {
+                    continue;
+                }
+                if (++tries > MAX_TRIES) {
+                    return;
+                }
+                tryInstead(moving, other);
+            }
+        }
+    }
+
+    private Candidate firstFree(int pool) {
+        for (Candidate c : workers) {
+            boolean free = c.pool == pool && c.arrival == 0 && c.firstMove == 0;
+            if (free && !c.route.startsAt(0, pool)) {
+                return c;
+            }
+        }
+        return null;
+    }
+
+    private void tryInstead(Candidate moving, Candidate other) {
+        Route oldMoving = moving.route;
+        Route oldOther = other.route;
+        double before = costOf(moving, other);
+        Route stays = Route.stay(moving.pool, moving.arrival, settings.steps());
+        swap(moving, other, stays, Route.stay(other.pool, other.arrival, settings.steps()));
+        improve(other);
+        improve(moving);
+        improve(other);
+        if (costOf(moving, other) > before - EPSILON) {
+            swap(moving, other, oldMoving, oldOther);
+        }
+    }
+
+    private double costOf(Candidate first, Candidate second) {
+        double cost = 0;
+        for (PoolForecast pool : pools) {
+            cost += pool.cost();
+        }
+        int moves = first.route.moves(first.pool) + second.route.moves(second.pool);
+        return cost + moves * view.weights().moveWeight();
+    }
+
+    /** Where one worker is to enter a pool now and another to leave it, lets the first go on. */
+    private void shorten() {
+        for (Candidate in : workers) {
+            for (Candidate out : workers) {
+                if (in.route.startsAt(0, in.pool)
+                        && out.route.startsAt(0, out.pool)
+                        && in.route.pool(0) == out.pool
+                        && in.view.slots() == out.view.slots()) {
+                    exchange(in, out);
+                }
+            }
+        }
+    }
+
+    private void exchange(Candidate in, Candidate out) {
+        Route oldIn = in.route;
+        Route oldOut = out.route;
+        int pool = out.pool;
+        int[] stays = oldIn.places().clone();
+        for (int t = 0; t < stays.length && !oldIn.serves(t); t++) {
+            stays[t] = pool;
+        }
+        int[] goes = oldOut.places().clone();
+        int transit = searches.get(0).transit(in, 0);
+        for (int t = 0; t < transit && t < goes.length; t++) {
+            goes[t] = ~oldOut.pool(t);
+        }
+        double before = costOf(in, out);
+        swap(in, out, new Route(goes), new Route(stays));
+        if (costOf(in, out) > before) {
+            swap(in, out, oldIn, oldOut);
+        }
+    }
+
+    private void swap(Candidate first, Candidate second, Route firstRoute, Route secondRoute) {
+        place(first, first.route, -1);
+        place(second, second.route, -1);
+        first.route = firstRoute;
+        second.route = secondRoute;
+        place(first, first.route, 1);
+        place(second, second.route, 1);
+        changed();
+    }
+
     private boolean improve(Candidate worker) {
         if (!pools.get(worker.pool).known) {
             return false;
         }
+        Settled same = new Settled(worker);
+        if (settled.contains(same)) {
+            return false;
+        }
         Route old = worker.route;
         place(worker, old, -1);
         Route best = old;
-        double bestCost = Double.NaN;
-        for (double share : SHARES) {
-            Route route = search.best(worker, share);
-            if (Arrays.equals(route.places(), old.places())) {
+        double bestGain = Double.NaN;
+        for (Route route : candidates(worker)) {
+            if (route.equals(old)) {
                 continue;
             }
             Set<Integer> touched = touched(old, route);
             double gain = costWith(worker, old, touched) - costWith(worker, route, touched);
-            if (gain > EPSILON && (Double.isNaN(bestCost) || gain > bestCost)) {
+            if (gain > EPSILON && (Double.isNaN(bestGain) || gain > bestGain)) {
                 best = route;
-                bestCost = gain;
+                bestGain = gain;
             }
         }
         worker.route = best;
         place(worker, best, 1);
-        return best != old;
+        if (best == old) {
+            settled.add(same);
+            return false;
+        }
+        changed();
+        return true;
+    }
+
+    private void changed() {
+        version++;
+        settled.clear();
+    }
+
+    /** Returns the routes that are worth an exact look: to stay, or the best by each reading. */
+    private List<Route> candidates(Candidate worker) {
+        List<Route> routes = new ArrayList<>();
+        routes.add(Route.stay(worker.pool, worker.arrival, settings.steps()));
+        for (RouteSearch search : searches) {
+            Route route = search.best(worker, version);
+            if (!routes.contains(route)) {
+                routes.add(route);
+            }
+            if (route.moves(worker.pool) > 1) {
+                routes.add(route.cutToMoves(1, worker.pool));
+            }
+        }
+        return routes;
     }
 
     private Set<Integer> touched(Route old, Route route) {
@@ -294,4 +438,14 @@
         }
         return false;
     }
+
+    /**
+     * Workers that are alike: what was found for one while nothing changed holds for the others.
+     */
+    private record Settled(
+            int pool, int arrival, int firstMove, int slots, Duration drainTime, Route route) {
+        Settled(Candidate c) {
+            this(c.pool, c.arrival, c.firstMove, c.view.slots(), c.view.drainTime(), c.route);
+        }
+    }
 }
--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolForecast.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolForecast.java
@@ -24,6 +24,7 @@
     private final int[] serving;
     private final int[] arriving;
     private final double[] queue;
+    private long revision = 1;
     private int down;
     private int slots = 1;
 
@@ -64,6 +65,7 @@
     /** Adds a worker's place in one step, or takes it away again. */
     void place(int t, int workerSlots, boolean serves, int sign) {
         slots = Math.max(slots, workerSlots);
+        revision++;
         if (serves) {
             serving[t] += sign;
             capacity[t] += sign * workerSlots;
@@ -72,6 +74,11 @@
         }
     }
 
+    /** Returns a number that grows with each change of places. */
+    long revision() {
+        return revision;
+    }
+
     int servingNow() {
         return serving[0];
     }
--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/Route.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/Route.java
@@ -1,5 +1,7 @@
 package org.crocusgrade.core.fleet.plan;
 
+import java.util.Arrays;
+
 /**
  * Where one worker is in each step of the horizon: the index of the pool that it serves, or the
  * complement of the index of the pool that it is on its way to.
@@ -37,4 +39,27 @@
         }
         return moves;
     }
+
+    /** Returns the route with only its first moves, for a worker of the pool. */
+    Route cutToMoves(int kept, int poolBefore) {
+        int[] cut = places.clone();
+        int moves = 0;
+        for (int t = 0; t < cut.length; t++) {
+            moves += startsAt(t, poolBefore) ? 1 : 0;
+            if (moves > kept) {
+                cut[t] = cut[t - 1] >= 0 ? cut[t - 1] : ~cut[t - 1];
+            }
+        }
+        return new Route(cut);
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Route r && Arrays.equals(places, r.places);
+    }
+
+    @Override
+    public int hashCode() {
+        return Arrays.hashCode(places);
+    }
 }
--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/RouteSearch.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/RouteSearch.java
@@ -1,5 +1,6 @@
 package org.crocusgrade.core.fleet.plan;
 
+import java.time.Duration;
 import java.util.List;
 
 /**
@@ -30,13 +31,23 @@
     private final int tickSteps;
     private final int dwellSteps;
     private final double[][] rewards;
+    private final double[][] sums;
+    private final long[] seen;
+    private final int[] seenSlots;
     private final double[][] values;
     private final double[][] arrivals;
     private final int[] first;
     private final int[] second;
+    private final double share;
+    private Known known;
 
     RouteSearch(
-            PlanSettings settings, List<PoolForecast> pools, int[] transits, double moveWeight) {
+            PlanSettings settings,
+            List<PoolForecast> pools,
+            int[] transits,
+            double moveWeight,
+            double share) {
+        this.share = share;
         this.settings = settings;
         this.pools = pools;
         this.transits = transits;
@@ -45,16 +56,33 @@
         this.tickSteps = Math.max(1, settings.stepsOf(settings.tick()));
         this.dwellSteps = settings.stepsOf(settings.dwell());
         this.rewards = new double[pools.size()][steps];
+        this.sums = new double[pools.size()][steps + 1];
+        this.seen = new long[pools.size()];
+        this.seenSlots = new int[pools.size()];
         this.values = new double[pools.size()][steps + 1];
         this.arrivals = new double[pools.size()][steps + 1];
         this.first = new int[steps + 1];
         this.second = new int[steps + 1];
     }
 
-    /** Returns the best route of a worker that is taken out of the forecasts. */
-    Route best(Candidate worker, double share) {
+    /**
+     * Returns the best route of a worker that is taken out of the forecasts.
+     *
+     * @param version names the state of the forecasts before the worker was taken out
+     */
+    Route best(Candidate worker, long version) {
+        boolean stays = worker.arrival == 0 && worker.route.moves(worker.pool) == 0;
+        Known key = new Known(version, worker.pool, worker.view.slots());
+        if (!stays || !key.equals(known)) {
+            known = stays ? key : null;
+            search(worker);
+        }
+        return walk(worker);
+    }
+
+    private void search(Candidate worker) {
         for (int p = 0; p < pools.size(); p++) {
-            pools.get(p).rewards(rewards[p], worker.view.slots(), share);
+            fillRewards(p, worker.view.slots());
         }
         for (int t = steps; t >= 0; t--) {
             for (int p = 0; p < pools.size(); p++) {
@@ -63,7 +91,19 @@
             }
             rank(t);
         }
-        return walk(worker);
+    }
+
+    private void fillRewards(int p, int slots) {
+        PoolForecast pool = pools.get(p);
+        if (seen[p] == pool.revision() && seenSlots[p] == slots) {
+            return;
+        }
+        pool.rewards(rewards[p], slots, share);
+        for (int t = 0; t < steps; t++) {
+            sums[p][t + 1] = sums[p][t] + rewards[p][t];
+        }
+        seen[p] = pool.revision();
+        seenSlots[p] = slots;
     }
 
     private double value(int pool, int t) {
@@ -92,12 +132,9 @@
 
     /** Returns the value of coming to a pool at the step and staying for the dwell time. */
     private double arrival(int pool, int t) {
-        double sum = -transits[pool] * pools.get(pool).transitCost();
         int until = Math.min(steps, t + Math.max(0, dwellSteps - transits[pool]));
-        for (int i = t; i < until; i++) {
-            sum += rewards[pool][i];
-        }
-        return sum + values[pool][until];
+        double transit = transits[pool] * pools.get(pool).transitCost();
+        return sums[pool][until] - sums[pool][t] + values[pool][until] - transit;
     }
 
     private void rank(int t) {
@@ -149,11 +186,18 @@
         return new Route(places);
     }
 
-    private int transit(Candidate worker, int t) {
-        int move = settings.stepsOf(settings.moveTime());
-        int usual = transits[worker.pool];
-        return Math.max(
-                1,
-                Math.max(worker.drainSteps - t + move, Math.min(usual, worker.drainSteps + move)));
+    /** Returns the steps that a move of the worker takes when it starts at the step. */
+    int transit(Candidate worker, int t) {
+        Duration drain = worker.view.drainTime().minus(settings.step().multipliedBy(t));
+        Duration left = drain.isNegative() ? Duration.ZERO : drain;
+        int now = Math.max(1, settings.stepsOf(left.plus(settings.moveTime())));
+        int whole = settings.stepsOf(worker.view.drainTime().plus(settings.moveTime()));
+        return Math.max(now, Math.min(transits[worker.pool], whole));
     }
+
+    /**
+     * What the values hold for: all workers of a pool that stay leave the same forecasts when one
+     * of them is taken out.
+     */
+    private record Known(long version, int pool, int slots) {}
 }
