--- a/core/src/main/java/org/crocusgrade/core/dispatch/Reason.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/Reason.java
@@ -52,6 +52,13 @@
             502,
             Severity.WARNING,
             "The request failed on several workers."),
+    /** The request failed, and the time or the retry budget did not suffice for another try. */
+    RETRY_GIVEN_UP(
+            "retry-given-up",
+            Outcome.UNKNOWN,
+            502,
+            Severity.WARNING,
+            "The request failed and was not tried again in time."),
     /** The daemon is stopping. */
     STOPPING("stopping", Outcome.NOT_RUN, 503, Severity.INFO, "The daemon is stopping."),
     /** The caller left while the request waited. */
@@ -69,10 +76,17 @@
     /** The platform's service cannot record the claim of the key. */
     CLAIM_UNAVAILABLE(
             "claim-unavailable",
-            Outcome.NOT_RUN,
+            Outcome.UNKNOWN,
             503,
             Severity.ERROR,
             "The key cannot be claimed now."),
+    /** The request has a key, but nothing is in force here by which it could be looked up. */
+    KEY_UNCHECKED(
+            "key-unchecked",
+            Outcome.UNKNOWN,
+            503,
+            Severity.WARNING,
+            "The key could not be looked up here."),
     /** The key was claimed before and its run's end is not known. */
     CLAIM_UNRESOLVED(
             "claim-unresolved",
