Maintain hosts in waves within each service's budget

Cause: every host must be maintained in its stated time and images rolled out, without breaking a budget, and by planners that are replaced at any moment. Change: a pure step from view and record to decisions and next record; canaries, holds by typed reason, stops on failures that are not single; the record's JSON is bounded.

--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/maintenance/WaveRound.java
@@ -0,0 +1,372 @@
+package org.crocusgrade.core.maintenance;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.crocusgrade.core.fleet.WorkerState;
+import org.crocusgrade.core.id.Epoch;
+import org.crocusgrade.core.id.PoolId;
+import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.maintenance.HostProgress.Phase;
+import org.crocusgrade.core.maintenance.MaintenanceView.Host;
+import org.crocusgrade.core.maintenance.MaintenanceView.Pool;
+import org.crocusgrade.core.port.HostEntry;
+
+/** One look at the hosts, see {@link DefaultMaintenancePlanner}. */
+final class WaveRound {
+    /** Part of the stated time after which a host is due. */
+    private static final double DUE_PART = 2.0 / 3;
+
+    /** Time after which a host that was put back is tried again. */
+    private static final Duration TRY_AGAIN = Duration.ofMinutes(10);
+
+    /** Weight of a new value in the mean time of a host. */
+    private static final double TIME_WEIGHT = 0.2;
+
+    private final MaintenanceView view;
+    private final WaveRecord before;
+    private final Epoch epoch;
+    private final Instant now;
+    private final Map<PoolId, Pool> pools = new HashMap<>();
+    private final Map<WorkerId, HostProgress> hosts = new TreeMap<>();
+    private final Map<WorkerId, Instant> maintained = new TreeMap<>();
+    private final List<MaintenanceDecision> decisions = new ArrayList<>();
+    private Optional<MaintenanceReason> stopped;
+    private WaveRecord.Status status;
+    private long wave;
+    private Instant started;
+    private Duration hostTime;
+
+    WaveRound(MaintenanceView view, WaveRecord record, Epoch epoch) {
+        this.view = view;
+        this.before = record;
+        this.epoch = epoch;
+        this.now = view.now();
+        view.pools().forEach(p -> pools.put(p.pool(), p));
+        hosts.putAll(record.hosts());
+        maintained.putAll(record.maintained());
+        stopped = record.stopped();
+        status = record.status();
+        wave = record.wave();
+        started = record.started();
+        hostTime = record.hostTime();
+    }
+
+    MaintenanceStep step() {
+        remember();
+        begin();
+        for (Host host : view.hosts()) {
+            HostProgress progress = hosts.get(host.worker());
+            if (progress != null) {
+                advance(host, progress);
+            }
+        }
+        judge();
+        if (status == WaveRecord.Status.RUNNING) {
+            take();
+        }
+        WaveRecord next =
+                new WaveRecord(
+                        epoch,
+                        wave,
+                        status,
+                        stopped,
+                        view.policy().image(),
+                        view.policy().attempt(),
+                        started,
+                        hosts,
+                        maintained,
+                        hostTime);
+        return new MaintenanceStep(next, decisions, progress());
+    }
+
+    /** Notes hosts that are new, and forgets those long gone. */
+    private void remember() {
+        Duration longest = Duration.ZERO;
+        for (Pool p : view.pools()) {
+            Duration every = p.maintenance().every();
+            longest = every.compareTo(longest) > 0 ? every : longest;
+        }
+        Instant old = now.minus(longest.multipliedBy(2));
+        maintained.values().removeIf(at -> at.isBefore(old));
+        for (Host h : view.hosts()) {
+            if (maintained.size() < WaveRecord.MAX_HOSTS) {
+                maintained.putIfAbsent(h.worker(), now);
+            }
+        }
+    }
+
+    /** Starts a wave when one is called for. */
+    private void begin() {
+        boolean changed =
+                !Objects.equals(before.image(), view.policy().image())
+                        || before.attempt() != view.policy().attempt();
+        boolean active = hosts.values().stream().anyMatch(p -> p.phase().active);
+        boolean calledFor =
+                changed
+                        || (status == WaveRecord.Status.IDLE
+                                && view.hosts().stream().anyMatch(this::due));
+        if (!calledFor) {
+            return;
+        }
+        if (changed && !active && view.hosts().stream().noneMatch(this::due)) {
+            status = WaveRecord.Status.IDLE;
+            stopped = Optional.empty();
+            hosts.clear();
+            return;
+        }
+        status = WaveRecord.Status.RUNNING;
+        stopped = Optional.empty();
+        wave++;
+        started = now;
+        hosts.values().removeIf(p -> !p.phase().active);
+    }
+
+    private void advance(Host host, HostProgress progress) {
+        switch (progress.phase()) {
+            case DRAINING -> drain(host, progress);
+            case REBOOTING, DOWN -> await(host, progress);
+            case WATCHED -> watch(host, progress);
+            case DONE -> checkDone(host, progress);
+            default -> {}
+        }
+    }
+
+    private void drain(Host host, HostProgress progress) {
+        if (host.state() == WorkerState.MAINTENANCE) {
+            hosts.put(host.worker(), progress.to(Phase.REBOOTING, now));
+            reboot(host, progress);
+            return;
+        }
+        Pool pool = pools.get(host.pool());
+        boolean late =
+                pool != null && progress.since().plus(pool.maintenance().maxDrain()).isBefore(now);
+        if (late && host.host() == HostEntry.State.LIVE) {
+            hosts.put(host.worker(), progress.to(Phase.PUT_BACK, now));
+            decisions.add(
+                    new MaintenanceDecision.GiveBack(
+                            host.worker(), MaintenanceReason.DRAIN_TOO_LONG));
+            return;
+        }
+        decisions.add(new MaintenanceDecision.Drain(host.worker(), reason(host)));
+    }
+
+    private void reboot(Host host, HostProgress progress) {
+        decisions.add(
+                new MaintenanceDecision.Reboot(
+                        host.worker(),
+                        view.policy().image().orElse(host.image()),
+                        progress.operation(),
+                        MaintenanceReason.DRAINED));
+    }
+
+    /** Waits for a host to be seen down and up again, and asks again while it was not seen down. */
+    private void await(Host host, HostProgress progress) {
+        Optional<String> image = view.policy().image();
+        boolean live = host.host() == HostEntry.State.LIVE;
+        boolean imaged = image.isEmpty() || image.get().equals(host.image());
+        boolean late = progress.since().plus(view.policy().rebootTimeout()).isBefore(now);
+        if (progress.phase() == Phase.REBOOTING && host.host() == HostEntry.State.DOWN) {
+            hosts.put(host.worker(), progress.to(Phase.DOWN, now));
+        } else if (progress.phase() == Phase.DOWN && live && !imaged) {
+            fail(host, progress, MaintenanceReason.WRONG_IMAGE);
+        } else if (progress.phase() == Phase.DOWN && live && host.answers()) {
+            hosts.put(host.worker(), progress.to(Phase.WATCHED, now));
+            giveBack(host);
+        } else if (late) {
+            fail(host, progress, MaintenanceReason.REBOOT_TIMEOUT);
+        } else if (progress.phase() == Phase.REBOOTING) {
+            reboot(host, progress);
+        }
+    }
+
+    private void giveBack(Host host) {
+        decisions.add(new MaintenanceDecision.GiveBack(host.worker(), MaintenanceReason.CHECKED));
+    }
+
+    private void watch(Host host, HostProgress progress) {
+        if (host.state() == WorkerState.MAINTENANCE && host.host() == HostEntry.State.LIVE) {
+            giveBack(host);
+            return;
+        }
+        if (host.state() == WorkerState.QUARANTINED || host.host() == HostEntry.State.DOWN) {
+            fail(host, progress, MaintenanceReason.FAILED_AFTER);
+            return;
+        }
+        if (!progress.since().plus(view.policy().watch()).isAfter(now)) {
+            hosts.put(host.worker(), progress.to(Phase.DONE, now));
+            maintained.put(host.worker(), now);
+            Duration took = Duration.between(progress.started(), progress.since());
+            hostTime = hostTime.isZero() ? took : mean(took);
+        }
+    }
+
+    private Duration mean(Duration took) {
+        double nanos = hostTime.toNanos() * (1 - TIME_WEIGHT) + took.toNanos() * TIME_WEIGHT;
+        return Duration.ofNanos((long) nanos);
+    }
+
+    /** A host that fails while its wave goes on speaks against the wave. */
+    private void checkDone(Host host, HostProgress progress) {
+        boolean failed =
+                host.state() == WorkerState.QUARANTINED || host.host() == HostEntry.State.DOWN;
+        if (failed && status == WaveRecord.Status.RUNNING) {
+            fail(host, progress, MaintenanceReason.FAILED_AFTER);
+        }
+    }
+
+    private void fail(Host host, HostProgress progress, MaintenanceReason reason) {
+        hosts.put(host.worker(), progress.failed(reason, now));
+    }
+
+    private void judge() {
+        if (status != WaveRecord.Status.RUNNING) {
+            return;
+        }
+        int failed = count(Phase.FAILED);
+        boolean canary = rollsOut() && count(Phase.DONE) < canaries();
+        if (failed >= view.policy().maxFailures()) {
+            stop(MaintenanceReason.CORRELATED_FAILURES);
+        } else if (failed > 0 && canary) {
+            stop(MaintenanceReason.CANARY_FAILED);
+        }
+    }
+
+    private void stop(MaintenanceReason reason) {
+        status = WaveRecord.Status.STOPPED;
+        stopped = Optional.of(reason);
+    }
+
+    private void take() {
+        PoolBudgets budgets = new PoolBudgets(view, hosts);
+        Optional<MaintenanceReason> all = holdAll();
+        int taken = hosts.size() - count(Phase.PUT_BACK);
+        boolean anyDue = false;
+        for (Host host : view.hosts()) {
+            Pool pool = pools.get(host.pool());
+            if (pool == null || !due(host)) {
+                continue;
+            }
+            anyDue = true;
+            Optional<MaintenanceReason> hold = all;
+            if (hold.isEmpty() && rollsOut() && !canariesDone() && taken >= canaries()) {
+                hold = Optional.of(MaintenanceReason.CANARY);
+            }
+            if (hold.isEmpty()) {
+                hold = budgets.mayTake(host, pool);
+            }
+            if (hold.isPresent()) {
+                budgets.hold(pool.pool(), hold.get());
+                continue;
+            }
+            taken++;
+            budgets.take(host);
+            start(host);
+        }
+        budgets.holds()
+                .forEach((pool, why) -> decisions.add(new MaintenanceDecision.Hold(pool, why)));
+        if (!anyDue && hosts.values().stream().noneMatch(WaveRound::unfinished)) {
+            status = WaveRecord.Status.IDLE;
+        }
+    }
+
+    private static boolean unfinished(HostProgress progress) {
+        return progress.phase().active || progress.phase() == Phase.PUT_BACK;
+    }
+
+    private void start(Host host) {
+        String operation = "wave-" + wave + "-" + host.worker().value();
+        hosts.put(
+                host.worker(),
+                new HostProgress(Phase.DRAINING, now, now, operation, Optional.empty()));
+        decisions.add(new MaintenanceDecision.Drain(host.worker(), reason(host)));
+    }
+
+    private Optional<MaintenanceReason> holdAll() {
+        if (view.policy().paused()) {
+            return Optional.of(MaintenanceReason.PAUSED);
+        }
+        Map<String, int[]> zones = new TreeMap<>();
+        for (Host h : view.hosts()) {
+            int[] count = zones.computeIfAbsent(h.zone().value(), z -> new int[2]);
+            HostProgress progress = hosts.get(h.worker());
+            boolean ours = progress != null && progress.phase().active;
+            count[0]++;
+            count[1] += h.host() == HostEntry.State.DOWN && !ours ? 1 : 0;
+        }
+        boolean lost = zones.values().stream().anyMatch(c -> c[1] * 2 > c[0]);
+        return lost ? Optional.of(MaintenanceReason.ZONE_DOWN) : Optional.empty();
+    }
+
+    private boolean rollsOut() {
+        return view.policy().image().isPresent();
+    }
+
+    private int canaries() {
+        return (int) Math.ceil(view.policy().canaryShare() * view.hosts().size());
+    }
+
+    private boolean canariesDone() {
+        return count(Phase.DONE) >= canaries();
+    }
+
+    private int count(Phase phase) {
+        return (int) hosts.values().stream().filter(p -> p.phase() == phase).count();
+    }
+
+    /** Returns whether a host is to be taken in the wave; one that is down or failing is not. */
+    private boolean due(Host host) {
+        if (host.host() != HostEntry.State.LIVE || host.state() == WorkerState.QUARANTINED) {
+            return false;
+        }
+        HostProgress progress = hosts.get(host.worker());
+        if (progress != null && !mayTakeAgain(progress)) {
+            return false;
+        }
+        boolean leftOut = host.state() == WorkerState.MAINTENANCE;
+        return leftOut || otherImage(host) || agedOver(host, DUE_PART);
+    }
+
+    private boolean mayTakeAgain(HostProgress progress) {
+        return switch (progress.phase()) {
+            case PUT_BACK -> !progress.since().plus(TRY_AGAIN).isAfter(now);
+            case DONE -> status == WaveRecord.Status.IDLE;
+            default -> false;
+        };
+    }
+
+    private boolean otherImage(Host host) {
+        Optional<String> image = view.policy().image();
+        return image.isPresent() && !image.get().equals(host.image());
+    }
+
+    private boolean agedOver(Host host, double part) {
+        Pool pool = pools.get(host.pool());
+        Instant last = maintained.get(host.worker());
+        if (pool == null || last == null) {
+            return false;
+        }
+        double age = Duration.between(last, now).toNanos();
+        return age >= pool.maintenance().every().toNanos() * part;
+    }
+
+    private MaintenanceReason reason(Host host) {
+        return otherImage(host) ? MaintenanceReason.IMAGE : MaintenanceReason.DUE;
+    }
+
+    private MaintenanceStep.Progress progress() {
+        int due = (int) view.hosts().stream().filter(this::due).count();
+        int overdue = (int) view.hosts().stream().filter(h -> agedOver(h, 1)).count();
+        int active = (int) hosts.values().stream().filter(p -> p.phase().active).count();
+        Duration each = hostTime.isZero() ? Duration.ZERO : hostTime.plus(view.policy().watch());
+        Duration left = each.multipliedBy(PoolBudgets.rounds(view, this::due, active > 0));
+        return new MaintenanceStep.Progress(
+                due, active, count(Phase.DONE), count(Phase.FAILED), overdue, left);
+    }
+}
--- a/core/src/main/java/org/crocusgrade/core/maintenance/package-info.java
+++ b/core/src/main/java/org/crocusgrade/core/maintenance/package-info.java
@@ -1,2 +1,2 @@
-/** Maintenance waves and image roll-outs within availability budgets. */
+/** Waves of maintenance and host image roll-outs within each service's availability budget. */
 package org.crocusgrade.core.maintenance;
