Show status, pools, hosts, moves, maintenance, and explain reasons

Cause: operators need to see at a glance what is wrong and since when.

Change: six read-only commands over rack records, members and daemons' status pages; daemons keep since when each condition holds, as a metric too. explain gives the meaning of every reason and what to do.

--- /dev/null
+++ b/cli/src/main/java/org/crocusgrade/cli/MovesCommand.java
@@ -0,0 +1,52 @@
+package org.crocusgrade.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** {@code moves}: workers on their way to another pool, and the planner's latest decisions. */
+final class MovesCommand extends BaseReadCommand {
+    MovesCommand() {
+        super("moves", "Shows workers on their way to another pool, and the planner's reasons.");
+    }
+
+    @Override
+    ExitCode show(Invocation call, Fleet fleet) {
+        ObjectNode node = Invocation.JSON.createObjectNode();
+        ArrayNode under = node.putArray("underWay");
+        Table table = new Table("WORKER", "FROM", "TO", "STATE", "OWNER");
+        for (Fleet.Host h : fleet.hosts()) {
+            if (!h.moves()) {
+                continue;
+            }
+            table.row(
+                    h.worker().worker(),
+                    h.worker().pool(),
+                    h.worker().target(),
+                    HostsCommand.state(h),
+                    h.owner());
+            under.addObject()
+                    .put("worker", h.worker().worker().value())
+                    .put("from", h.worker().pool().value())
+                    .put("to", h.worker().target().value())
+                    .put("state", HostsCommand.state(h))
+                    .put("owner", h.owner());
+        }
+        ArrayNode decided = node.putArray("decided");
+        Table decisions = new Table("AT", "WORKER", "FROM", "TO", "REASON");
+        JsonNode planner = fleet.part("planner").orElse(Invocation.JSON.missingNode());
+        for (JsonNode move : planner.path("moves")) {
+            decided.add(move);
+            decisions.row(
+                    move.path("at").asText(),
+                    move.path("worker").asText(),
+                    move.path("from").asText(),
+                    move.path("to").asText(),
+                    move.path("reason").asText());
+        }
+        String text = under.isEmpty() ? "no worker is on its way\n" : table.toString();
+        String latest = decided.isEmpty() ? "" : "\nlatest decisions\n" + decisions;
+        call.print(node, text + latest);
+        return ExitCode.DONE;
+    }
+}
--- a/cli/src/main/java/org/crocusgrade/cli/Table.java
+++ b/cli/src/main/java/org/crocusgrade/cli/Table.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Pattern;
 
 /** A table for people: columns as wide as their longest cell, numbers to the right. */
 public final class Table {
     private static final String GAP = "  ";
+    private static final Pattern NUMBER = Pattern.compile("[0-9.]+[A-Za-z%]{0,3}");
 
     private final List<List<String>> rows = new ArrayList<>();
 
@@ -49,6 +51,6 @@
     }
 
     private static boolean isNumber(String cell) {
-        return !cell.isEmpty() && Character.isDigit(cell.charAt(0)) && !cell.contains(":");
+        return NUMBER.matcher(cell).matches();
     }
 }
--- a/cli/src/test/java/org/crocusgrade/cli/SessionsTest.java
+++ b/cli/src/test/java/org/crocusgrade/cli/SessionsTest.java
@@ -12,11 +12,13 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
 import org.crocusgrade.core.misc.Addresses;
 import org.crocusgrade.core.port.Clock;
+import org.crocusgrade.daemon.platform.HttpKeyValueStore;
 import org.crocusgrade.standin.PlatformServer;
 import org.crocusgrade.standin.platform.PlatformFaults;
 import org.junit.jupiter.api.AfterAll;
@@ -27,7 +29,8 @@
 /**
  * Plays whole sessions of {@code sessions/*.session} against the platform's stand-in. A line {@code
  * $ command} is run; what it prints and its exit code must be the lines that follow. Ids, times and
- * addresses are shown as placeholders; {@code % down} and {@code % up} stop and start the platform.
+ * addresses are shown as placeholders; {@code % down} and {@code % up} stop and start the platform,
+ * {@code % fleet} fills it.
  */
 class SessionsTest {
     private static final Path SESSIONS = Path.of("src/test/resources/sessions");
@@ -69,11 +72,16 @@
                 output = line.startsWith("$ ");
                 if (line.startsWith("#") || line.isEmpty()) {
                     played.add(line);
+                } else if (line.equals("% fleet")) {
+                    played.add(line);
+                    HttpKeyValueStore store =
+                            new HttpKeyValueStore(vertx, address, Duration.ofSeconds(5));
+                    ShownFleet.write(store, vertx);
+                    store.close();
                 } else if (line.startsWith("% ")) {
                     played.add(line);
                     server.setFaults(
-                            new PlatformFaults(
-                                    line.equals("% down"), false, java.time.Duration.ZERO, 0));
+                            new PlatformFaults(line.equals("% down"), false, Duration.ZERO, 0));
                 } else if (line.startsWith("$ ")) {
                     played.add(line);
                     played.addAll(run(line.substring(2), platform));
--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -37,6 +37,8 @@
 import org.crocusgrade.daemon.edge.ServiceFlow;
 import org.crocusgrade.daemon.link.SlotMessages;
 import org.crocusgrade.daemon.metrics.DaemonMetrics;
+import org.crocusgrade.daemon.ops.Condition;
+import org.crocusgrade.daemon.ops.ConditionLog;
 import org.crocusgrade.daemon.ops.OperatorApi;
 import org.crocusgrade.daemon.owner.RackKeeper;
 import org.crocusgrade.daemon.owner.SlotExchange;
@@ -53,6 +55,7 @@
 /** One daemon: wires the parts together, starts and stops them. */
 public final class Daemon {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final Duration CONDITION_PERIOD = Duration.ofSeconds(1);
     private static final Duration CONTROL_PERIOD = Duration.ofMillis(50);
     private static final Duration FLOW_PERIOD = Duration.ofMillis(10);
     private static final Duration STORE_TIMEOUT = Duration.ofSeconds(2);
@@ -65,6 +68,7 @@
     private final BootId boot =
             new BootId(UUID.randomUUID().toString().replace("-", "").substring(0, 16));
     private final DaemonMetrics metrics = new DaemonMetrics();
+    private final ConditionLog conditions = new ConditionLog(clock, metrics.registry());
     private final AtomicBoolean demandChanged = new AtomicBoolean();
     private final ScheduledExecutorService control = newControl();
     private final Vertx vertx;
@@ -210,6 +214,7 @@
         session.start();
         fleet.start();
         configuration.start();
+        startConditions();
         long period = CONTROL_PERIOD.toMillis();
         control.scheduleWithFixedDelay(
                 () -> guarded(this::tick), period, period, TimeUnit.MILLISECONDS);
@@ -218,6 +223,27 @@
                 () -> guarded(flows::tick), flowPeriod, flowPeriod, TimeUnit.MILLISECONDS);
     }
 
+    private void startConditions() {
+        conditions
+                .check(Condition.NO_LEASE, () -> session.valid().isEmpty())
+                .check(Condition.NO_CONFIG, () -> flows.table().get().flows().isEmpty())
+                .check(Condition.NOT_SETTLED, () -> !configuration.isSettled())
+                .check(Condition.STOPPING, () -> stopping)
+                .check(Condition.NO_SLOTS, this::waitsWithoutSlots);
+        long period = CONDITION_PERIOD.toMillis();
+        control.scheduleWithFixedDelay(
+                () -> guarded(conditions::update), period, period, TimeUnit.MILLISECONDS);
+    }
+
+    private boolean waitsWithoutSlots() {
+        for (ServiceFlow flow : flows.table().get().flows().values()) {
+            if (flow.queued() > 0 && slots.held(flow.config().pool()) == 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Stops gracefully: goes unready, finishes what it has taken, hands its leases back. */
     public void stop() {
         stopping = true;
@@ -364,6 +390,7 @@
                 .put("configSettled", configuration.isSettled())
                 .put("racksOwned", racks.owned())
                 .put("members", fleet.snapshot().members().size())
+                .put("problems", conditions.json())
                 .put("services", services);
     }
 
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/ops/ConditionLog.java
@@ -0,0 +1,63 @@
+package org.crocusgrade.daemon.ops;
+
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.time.Instant;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import org.crocusgrade.core.port.Clock;
+
+/** Keeps since when each condition holds; each is looked at when {@link #update} is called. */
+public final class ConditionLog {
+    private final Clock clock;
+    private final Gauge gauge;
+    private final Map<Condition, BooleanSupplier> checks = new EnumMap<>(Condition.class);
+    private final Map<Condition, Instant> since = new EnumMap<>(Condition.class);
+
+    /** Makes a log without checks. */
+    public ConditionLog(Clock clock, PrometheusRegistry registry) {
+        this.clock = clock;
+        gauge =
+                Gauge.builder()
+                        .name("crocusgrade_condition")
+                        .help("1 while a condition holds that needs a look, by condition.")
+                        .labelNames("condition")
+                        .register(registry);
+    }
+
+    /** Sets how a condition is found. */
+    public synchronized ConditionLog check(Condition condition, BooleanSupplier check) {
+        checks.put(condition, check);
+        return this;
+    }
+
+    /** Looks at every condition. */
+    public synchronized void update() {
+        checks.forEach(
+                (condition, check) -> {
+                    boolean holds = check.getAsBoolean();
+                    gauge.labelValues(condition.code).set(holds ? 1 : 0);
+                    if (holds) {
+                        since.putIfAbsent(condition, clock.now());
+                    } else {
+                        since.remove(condition);
+                    }
+                });
+    }
+
+    /** Returns the conditions that hold, with since when. */
+    public synchronized JsonArray json() {
+        JsonArray array = new JsonArray();
+        since.forEach(
+                (condition, at) ->
+                        array.add(
+                                new JsonObject()
+                                        .put("code", condition.code)
+                                        .put("since", at.toString())
+                                        .put("text", condition.text)));
+        return array;
+    }
+}
