--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -446,11 +446,11 @@
                     case SLOT_GRANT ->
                             exchange.onGrant(
                                     SlotMessages.read(from, sender, message.getSlotGrant()));
+                    case CLAIM_REQUEST -> claims.onRequest(from, sender, message.getClaimRequest());
+                    case CLAIM_REPLY -> claims.onReply(message.getClaimReply());
                     case CONFIG_DIGEST -> exchangeConfig.onDigest(from, message.getConfigDigest());
                     case CONFIG_PULL -> exchangeConfig.onPull(from, message.getConfigPull());
                     case CONFIG_PUSH -> exchangeConfig.onPush(from, message.getConfigPush());
-                    case CLAIM_REQUEST -> claims.onRequest(from, sender, message.getClaimRequest());
-                    case CLAIM_REPLY -> claims.onReply(message.getClaimReply());
                     default -> metrics.dropped(FrameDropReason.MALFORMED);
                 }
             } catch (IllegalArgumentException e) {
