--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -43,6 +43,8 @@
 import org.crocusgrade.daemon.link.PeerInbox;
 import org.crocusgrade.daemon.link.SlotMessages;
 import org.crocusgrade.daemon.metrics.DaemonMetrics;
+import org.crocusgrade.daemon.ops.Condition;
+import org.crocusgrade.daemon.ops.ConditionLog;
 import org.crocusgrade.daemon.ops.OperatorApi;
 import org.crocusgrade.daemon.owner.RackKeeper;
 import org.crocusgrade.daemon.owner.SlotExchange;
@@ -58,6 +60,7 @@
 /** One daemon: wires the parts together, starts and stops them. */
 public final class Daemon {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final Duration CONDITION_PERIOD = Duration.ofSeconds(1);
     private static final Duration CONTROL_PERIOD = Duration.ofMillis(50);
     private static final Duration FLOW_PERIOD = Duration.ofMillis(10);
     private static final Duration STORE_TIMEOUT = Duration.ofSeconds(2);
@@ -71,6 +74,7 @@
     private final BootId boot =
             new BootId(UUID.randomUUID().toString().replace("-", "").substring(0, 16));
     private final DaemonMetrics metrics = new DaemonMetrics();
+    private final ConditionLog conditions = new ConditionLog(clock, metrics.registry());
     private final AtomicBoolean demandChanged = new AtomicBoolean();
     private final ScheduledExecutorService control = ControlThread.start("control");
     private final ScheduledExecutorService planning = ControlThread.start("planner");
@@ -232,6 +236,7 @@
         fleet.start();
         configuration.start();
         planner.start();
+        startConditions();
         openInbox();
         ControlThread.every(control, CONTROL_PERIOD, this::tick);
         ControlThread.every(control, FLOW_PERIOD, flows::tick);
@@ -267,6 +272,25 @@
         inbox.open();
     }
 
+    private void startConditions() {
+        conditions
+                .check(Condition.NO_LEASE, () -> session.valid().isEmpty())
+                .check(Condition.NO_CONFIG, () -> flows.table().get().flows().isEmpty())
+                .check(Condition.NOT_SETTLED, () -> !configuration.isSettled())
+                .check(Condition.STOPPING, () -> stopping)
+                .check(Condition.NO_SLOTS, this::waitsWithoutSlots);
+        ControlThread.every(control, CONDITION_PERIOD, conditions::update);
+    }
+
+    private boolean waitsWithoutSlots() {
+        for (ServiceFlow flow : flows.table().get().flows().values()) {
+            if (flow.queued() > 0 && slots.held(flow.config().pool()) == 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Stops gracefully: goes unready, finishes what it has taken, hands its leases back. */
     public void stop() {
         stopping = true;
@@ -428,6 +452,7 @@
                 .put("configSettled", configuration.isSettled())
                 .put("racksOwned", racks.owned())
                 .put("members", fleet.snapshot().members().size())
+                .put("problems", conditions.json())
                 .put("services", services);
     }
 }
