Decide who may own racks, and explore the rule

Cause: an owner must go on through an outage of the platform's service, and another must take over once it is gone, but never both.

Change: Authority is the owner's view (lease or promises of a majority of the recorded witnesses, both sets while a write is unresolved), Witness gives promises and fences that exclude each other, TakeOver says when a record may be closed, RackRule when a rack may be taken, given up, or a worker may change pool. An explorer runs these classes over all interleavings of a model of three daemons and two hosts. Adopted slots count as leased until the owner before can have none out.

Depths are small: 4 steps with everything at once, 6 to 9 with one or two kinds of fault, up to 14 within the steps of a take-over.

--- a/core/src/main/java/org/crocusgrade/core/fleet/SlotTable.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/SlotTable.java
@@ -70,7 +70,7 @@
     /**
      * What is out of one worker's slots.
      *
-     * @param leased slots on which requests may still start
+     * @param leased slots on which requests may still start, those of an owner before included
      * @param running slots without a lease whose holder has not stated that nothing runs
      * @param orphaned slots of daemons that are gone, on which something may run
      */
@@ -141,8 +141,11 @@
             return new Outstanding(0, 0, 0);
         }
         ledger.expire(now);
+        int quiet = ledger.orphansWithLease(now);
         return new Outstanding(
-                ledger.count(Use.LEASED), ledger.count(Use.LAPSED), ledger.count(Use.ORPHANED));
+                ledger.count(Use.LEASED) + quiet,
+                ledger.count(Use.LAPSED),
+                ledger.count(Use.ORPHANED) - quiet);
     }
 
     /** Returns the slots of a pool that each daemon with a recent statement wants here. */
--- a/core/src/main/java/org/crocusgrade/core/fleet/WorkerLedger.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/WorkerLedger.java
@@ -82,6 +82,15 @@
         }
     }
 
+    /** Returns the slots for which an owner before may have leases out. */
+    int orphansWithLease(long now) {
+        int n = 0;
+        for (Entry entry : entries) {
+            n += entry.use == Use.ORPHANED && now - entry.endNanos < 0 ? 1 : 0;
+        }
+        return n;
+    }
+
     /** Ends the leases that have run out. */
     void expire(long now) {
         for (Entry entry : entries) {
--- a/core/src/test/java/org/crocusgrade/core/fleet/SlotLeaseTest.java
+++ b/core/src/test/java/org/crocusgrade/core/fleet/SlotLeaseTest.java
@@ -89,6 +89,22 @@
         assertThat(net.pool(1).held(SALES), is(8));
     }
 
+    @Test
+    void aDaemonReportedGoneKeepsItsSlotsUntilTheirLeasesEnd() {
+        SlotNetwork net = new SlotNetwork(1, 2);
+        net.want(0, 8);
+        net.run(Duration.ofMillis(20));
+        net.crash(0);
+        net.reportGone(0);
+        net.want(1, 8);
+        for (int i = 0; i < 60; i++) {
+            net.run(Duration.ofMillis(50));
+            net.reportWorker(0);
+            assertThat(net.leasedTwice(), is(List.of()));
+        }
+        assertThat(net.pool(1).held(SALES), is(8));
+    }
+
     @Test
     void aDrainingWorkerIsNotReadyBeforeItsLastRequestEnds() {
         SlotNetwork net = new SlotNetwork(1, 2);
@@ -137,8 +153,10 @@
         net.table().adopt(net.worker(0), SlotNetwork.ZONE, SALES, 8, quiet);
         net.want(0, 8);
         net.reportWorker(0);
+        assertThat(net.outstanding().leased(), is(8));
         net.run(Duration.ofSeconds(4));
         assertThat(net.pool(0).held(SALES), is(0));
+        assertThat(net.outstanding().orphaned(), is(8));
         net.reportWorker(1);
         net.run(Duration.ofSeconds(1));
         assertThat(net.pool(0).held(SALES), is(7));
--- /dev/null
+++ b/core/src/test/java/org/crocusgrade/core/member/Interner.java
@@ -0,0 +1,18 @@
+package org.crocusgrade.core.member;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Numbers values: equal ones get the same number. */
+final class Interner {
+    private final Map<Object, Integer> numbers = new HashMap<>();
+
+    int number(Object value) {
+        Integer known = numbers.get(value);
+        if (known == null) {
+            known = numbers.size();
+            numbers.put(value, known);
+        }
+        return known;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/crocusgrade/core/member/Model.java
@@ -0,0 +1,585 @@
+package org.crocusgrade.core.member;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.crocusgrade.core.fleet.RackRecord;
+import org.crocusgrade.core.fleet.SlotTable;
+import org.crocusgrade.core.fleet.WorkerRecord;
+import org.crocusgrade.core.fleet.WorkerState;
+import org.crocusgrade.core.id.AvailabilityZone;
+import org.crocusgrade.core.id.BootId;
+import org.crocusgrade.core.id.DaemonId;
+import org.crocusgrade.core.id.Epoch;
+import org.crocusgrade.core.id.PoolId;
+import org.crocusgrade.core.id.RackId;
+import org.crocusgrade.core.id.WorkerId;
+
+/**
+ * Three daemons and a rack of two hosts, with the service and the time between them. A daemon that
+ * can grant a host's slots is taken to have done so at every moment, the worst case.
+ */
+final class Model {
+    private static final MemberTimes TIMES =
+            new MemberTimes(
+                    Duration.ofMillis(900), Duration.ofMillis(1900), Duration.ofMillis(910));
+
+    private final ModelRules rules;
+    private final int maxFaults;
+    private final Set<Part> parts;
+    private final Predicate<String> scope;
+    private List<ModelState> made;
+
+    /** What the exploration lets happen besides renewals and take-overs. */
+    enum Part {
+        MOVES,
+        RESTARTS,
+        PAUSES,
+        LOST_ANSWERS,
+        WITNESS_CHANGES,
+        STOPS,
+        RACING_TAKERS
+    }
+
+    Model(ModelRules rules, int maxFaults, Set<Part> parts, Predicate<String> scope) {
+        this.rules = rules;
+        this.maxFaults = maxFaults;
+        this.parts = parts;
+        this.scope = scope;
+    }
+
+    /** Returns the state in which daemon 0 owns the rack and all have just renewed. */
+    ModelState start() {
+        ModelState state = new ModelState();
+        List<DaemonRun> runs = new ArrayList<>();
+        for (int i = 0; i < ModelState.DAEMONS; i++) {
+            runs.add(run(i, 1));
+        }
+        List<WorkerRecord> workers = new ArrayList<>();
+        for (int i = 0; i < ModelState.HOSTS; i++) {
+            PoolId pool = new PoolId("a");
+            workers.add(new WorkerRecord(new WorkerId("h" + i), pool, pool, WorkerState.SERVING));
+        }
+        RackRecord free =
+                new RackRecord(
+                        new RackId("r"),
+                        new AvailabilityZone("z"),
+                        Optional.empty(),
+                        Optional.empty(),
+                        Epoch.NONE,
+                        workers);
+        state.rack = RackRule.taken(free, runs.get(0));
+        state.rackRevision = 1;
+        for (int i = 0; i < ModelState.DAEMONS; i++) {
+            List<DaemonRun> others = new ArrayList<>(runs);
+            others.remove(i);
+            AuthorityRecord record =
+                    new AuthorityRecord(
+                            runs.get(i),
+                            1,
+                            AuthorityRecord.State.OPEN,
+                            WitnessSet.of(runs.get(i), others));
+            state.records[i] = record;
+            state.recordRevisions[i] = 1;
+            state.leaseEnds[i] = ModelRules.TICK;
+            Authority authority =
+                    Authority.none(runs.get(i), TIMES).onLease(0).onWrite(record).onWritten();
+            state.nodes[i] = node(runs.get(i), authority).view(state.rack, 1);
+        }
+        grantAll(state);
+        return state;
+    }
+
+    private static DaemonRun run(int daemon, int boot) {
+        return new DaemonRun(new DaemonId("d" + daemon), new BootId("b" + boot));
+    }
+
+    private static ModelState.Node node(DaemonRun run, Authority authority) {
+        return new ModelState.Node(
+                run,
+                authority,
+                Witness.fresh(TIMES),
+                null,
+                null,
+                0,
+                0,
+                false,
+                0,
+                List.of(-9 * ModelRules.TICK, -9 * ModelRules.TICK),
+                -1,
+                0);
+    }
+
+    /** Returns the states that one step leads to. */
+    List<ModelState> steps(ModelState state) {
+        made = new ArrayList<>();
+        step(state, "tick", false, next -> tick(next, false));
+        step(state, "tick+", false, next -> tick(next, true));
+        for (int d = 0; d < ModelState.DAEMONS; d++) {
+            faults(state, d);
+            if (!state.nodes[d].isPaused()) {
+                exchanges(state, d);
+                if (state.reaches(d)) {
+                    leases(state, d);
+                    takeOver(state, d);
+                    rack(state, d);
+                }
+            }
+        }
+        if (parts.contains(Part.MOVES)) {
+            plan(state);
+        }
+        return made;
+    }
+
+    /** Returns what two states at once would have to be true for, if it is. */
+    Optional<String> breach(ModelState state) {
+        for (ModelState.Out a : state.out) {
+            for (ModelState.Out b : state.out) {
+                if (a.host() != b.host() || a.end() <= state.now || b.end() <= state.now) {
+                    continue;
+                }
+                if (a.daemon() != b.daemon()) {
+                    return Optional.of("two owners:");
+                }
+                if (!a.pool().equals(b.pool())) {
+                    return Optional.of("two pools:");
+                }
+            }
+        }
+        return Optional.empty();
+    }
+
+    private void step(ModelState from, String name, boolean fault, Consumer<ModelState> change) {
+        if (!scope.test(name) || (fault && from.faults >= maxFaults)) {
+            return;
+        }
+        ModelState next = new ModelState(from, name);
+        next.faults += fault ? 1 : 0;
+        change.accept(next);
+        grantAll(next);
+        made.add(next);
+    }
+
+    private void grantAll(ModelState state) {
+        List<ModelState.Out> out = new ArrayList<>();
+        for (ModelState.Out each : state.out) {
+            if (each.end() > state.now) {
+                out.add(each);
+            }
+        }
+        for (int d = 0; d < ModelState.DAEMONS; d++) {
+            int able = able(state, d);
+            for (int h = 0; h < ModelState.HOSTS; h++) {
+                if ((able & 1 << h) != 0) {
+                    if (state.nodes[d].lastGrant().get(h) != state.now) {
+                        state.nodes[d] = state.nodes[d].lastGrant(h, state.now);
+                    }
+                    put(out, state, d, h, state.now + ModelRules.SLOT_LEASE);
+                }
+            }
+        }
+        state.out = List.copyOf(out);
+    }
+
+    private void put(List<ModelState.Out> out, ModelState state, int d, int h, long end) {
+        String pool = state.nodes[d].view().workers().get(h).pool().value();
+        out.removeIf(o -> o.host() == h && o.daemon() == d && o.pool().equals(pool));
+        out.add(new ModelState.Out(h, d, pool, end));
+    }
+
+    /** Returns the hosts whose slots a daemon may grant, by bit. */
+    private int able(ModelState state, int d) {
+        ModelState.Node node = state.nodes[d];
+        if (node.isPaused() || node.unresolved() || node.view() == null) {
+            return 0;
+        }
+        boolean owner = RackRule.isOwner(node.view(), node.run());
+        if (!owner || state.now < node.quietEnd() || !rules.mayGrant(node.authority(), state.now)) {
+            return 0;
+        }
+        return ~node.draining() & (1 << ModelState.HOSTS) - 1;
+    }
+
+    private void faults(ModelState state, int d) {
+        ModelState.Node node = state.nodes[d];
+        if (state.reaches(d)) {
+            step(state, "cut" + d, true, next -> next.cut |= 1 << d);
+        } else {
+            step(state, "heal" + d, false, next -> next.cut &= ~(1 << d));
+        }
+        if (parts.contains(Part.RESTARTS)) {
+            int boot = node.run().boot().value().charAt(1) - '0' + 1;
+            DaemonRun run = run(d, boot);
+            step(
+                    state,
+                    "restart" + d,
+                    true,
+                    next -> next.nodes[d] = node(run, Authority.none(run, TIMES)));
+        }
+        if (!parts.contains(Part.PAUSES)) {
+            return;
+        }
+        if (node.isPaused()) {
+            step(state, "resume" + d, false, next -> resume(next, d));
+        } else {
+            int able = able(state, d);
+            step(state, "pause" + d, true, next -> next.nodes[d] = node.paused(state.now, able));
+        }
+    }
+
+    private void resume(ModelState next, int d) {
+        ModelState.Node node = next.nodes[d];
+        List<ModelState.Out> out = new ArrayList<>(next.out);
+        for (int h = 0; h < ModelState.HOSTS; h++) {
+            long end = rules.lateGrantEnd(node.pausedSince(), next.now);
+            if ((node.pausedAble() & 1 << h) != 0 && end > next.now) {
+                put(out, next, d, h, end);
+            }
+        }
+        next.out = List.copyOf(out);
+        next.nodes[d] = node.paused(-1, 0);
+    }
+
+    private void exchanges(ModelState state, int d) {
+        ModelState.Node node = state.nodes[d];
+        boolean owner = node.view() != null && RackRule.isOwner(node.view(), node.run());
+        if (owner && !(state.reaches(d) && state.isLive(d))) {
+            node.authority().confirmed().ifPresent(r -> ask(state, d, r));
+            node.authority().pending().ifPresent(r -> ask(state, d, r));
+        }
+        if (node.attempt() == null) {
+            return;
+        }
+        for (DaemonRun each : node.attempt().toAsk(state.now)) {
+            int w = state.daemonOf(each);
+            if (state.nodes[w].isPaused() || !state.nodes[w].run().equals(each)) {
+                continue;
+            }
+            AuthorityRecord target = node.attempt().target();
+            Witness.Answer answer =
+                    rules.fence(state.nodes[w].witness(), target.run(), target.term(), state.now);
+            if (answer.given()) {
+                step(
+                        state,
+                        "fence" + d + w,
+                        false,
+                        next -> {
+                            next.nodes[w] = next.nodes[w].witness(answer.next());
+                            TakeOver fenced = next.nodes[d].attempt().onFenced(each);
+                            next.nodes[d] = next.nodes[d].attempt(fenced);
+                        });
+            }
+        }
+    }
+
+    private void ask(ModelState state, int d, AuthorityRecord record) {
+        for (DaemonRun each : record.witnesses().runs()) {
+            int w = state.daemonOf(each);
+            ModelState.Node asked = state.nodes[w];
+            if (asked.isPaused() || !asked.run().equals(each)) {
+                continue;
+            }
+            Witness.Answer answer =
+                    asked.witness().promise(state.nodes[d].run(), record.term(), state.now);
+            if (!answer.given()) {
+                continue;
+            }
+            step(
+                    state,
+                    "promise" + d + w,
+                    false,
+                    next -> {
+                        next.nodes[w] = next.nodes[w].witness(answer.next());
+                        Authority held =
+                                rules.onPromise(
+                                        next.nodes[d].authority(),
+                                        each,
+                                        record.term(),
+                                        state.now,
+                                        state.now);
+                        next.nodes[d] = next.nodes[d].authority(held);
+                    });
+        }
+    }
+
+    /**
+     * Lets time pass. Daemons that own nothing renew whenever they can, which lets them do the most
+     * harm; owners do or don't.
+     */
+    private void tick(ModelState state, boolean ownersRenew) {
+        boolean[] live = new boolean[ModelState.DAEMONS];
+        for (int d = 0; d < ModelState.DAEMONS; d++) {
+            live[d] = state.isLive(d);
+        }
+        state.tick();
+        for (int d = 0; d < ModelState.DAEMONS; d++) {
+            ModelState.Node node = state.nodes[d];
+            boolean renews = live[d] && !node.isPaused() && state.reaches(d);
+            if (renews && (ownersRenew || !isOwner(node))) {
+                state.leaseEnds[d] = state.now + ModelRules.TICK;
+                state.nodes[d] = node.authority(node.authority().onLease(state.now));
+            }
+        }
+    }
+
+    private static boolean isOwner(ModelState.Node node) {
+        return node.view() != null && RackRule.isOwner(node.view(), node.run());
+    }
+
+    private void leases(ModelState state, int d) {
+        Authority authority = state.nodes[d].authority();
+        boolean closed = state.records[d].isClosed();
+        boolean mine = state.records[d].run().equals(state.nodes[d].run());
+        if (closed && mine) {
+            if (authority.confirmed().isPresent()) {
+                step(
+                        state,
+                        "closed" + d,
+                        false,
+                        next -> next.nodes[d] = next.nodes[d].authority(authority.onClosed()));
+            }
+            return;
+        }
+        if (!state.isLive(d) || !mine) {
+            step(
+                    state,
+                    "lease" + d,
+                    false,
+                    next -> {
+                        next.leaseEnds[d] = next.now + ModelRules.TICK;
+                        next.nodes[d] =
+                                next.nodes[d].authority(rules.onNewLease(authority, next.now));
+                    });
+        }
+        boolean bound = authority.equals(authority.onWrite(state.records[d]).onWritten());
+        if (!bound || (isOwner(state.nodes[d]) && parts.contains(Part.WITNESS_CHANGES))) {
+            write(state, d);
+        }
+    }
+
+    private void write(ModelState state, int d) {
+        DaemonRun self = state.nodes[d].run();
+        boolean[][] views = {{true, true}, {true, false}, {false, true}};
+        int kinds = parts.contains(Part.WITNESS_CHANGES) ? views.length : 1;
+        for (int k = 0; k < kinds; k++) {
+            List<DaemonRun> others = new ArrayList<>();
+            for (int i = 1; i < ModelState.DAEMONS; i++) {
+                if (views[k][i - 1]) {
+                    others.add(state.nodes[(d + i) % ModelState.DAEMONS].run());
+                }
+            }
+            AuthorityRecord record = state.records[d].next(self, WitnessSet.of(self, others));
+            if (state.records[d].term() >= 3) {
+                return;
+            }
+            step(state, "write" + d + k, false, next -> write(next, d, record, true));
+            if (parts.contains(Part.LOST_ANSWERS)) {
+                step(state, "lostwrite" + d + k, true, next -> write(next, d, record, false));
+            }
+        }
+    }
+
+    private void write(ModelState next, int d, AuthorityRecord record, boolean answered) {
+        Authority sent = next.nodes[d].authority().onWrite(record);
+        next.records[d] = record;
+        next.recordRevisions[d]++;
+        Authority after = answered ? sent.onWritten() : rules.onRecordAnswerLost(sent);
+        next.nodes[d] = next.nodes[d].authority(after);
+    }
+
+    private void takeOver(ModelState state, int d) {
+        int x = state.owner();
+        ModelState.Node node = state.nodes[d];
+        boolean taker = parts.contains(Part.RACING_TAKERS) || d == (x + 1) % ModelState.DAEMONS;
+        if (x >= 0 && x != d && taker) {
+            observe(state, d, x);
+        }
+        TakeOver attempt = node.attempt();
+        if (attempt == null || !rules.mayClose(attempt, state.now)) {
+            return;
+        }
+        int target = state.daemonOf(attempt.target().run());
+        if (state.recordRevisions[target] == attempt.revision()) {
+            step(
+                    state,
+                    "close" + d,
+                    false,
+                    next -> {
+                        next.records[target] = attempt.target().close();
+                        next.recordRevisions[target]++;
+                        next.nodes[d] = next.nodes[d].attempt(null);
+                    });
+        }
+    }
+
+    private void observe(ModelState state, int d, int x) {
+        TakeOver attempt = state.nodes[d].attempt();
+        boolean stale =
+                attempt != null
+                        && (state.isLive(x) || attempt.revision() != state.recordRevisions[x]);
+        if (stale) {
+            step(state, "drop" + d, false, next -> next.nodes[d] = next.nodes[d].attempt(null));
+        }
+        if (attempt == null && !state.isLive(x) && !state.records[x].isClosed()) {
+            step(
+                    state,
+                    "absent" + d,
+                    false,
+                    next -> {
+                        TakeOver made =
+                                TakeOver.start(
+                                        TIMES, next.records[x], next.recordRevisions[x], next.now);
+                        next.nodes[d] = next.nodes[d].attempt(made);
+                    });
+        }
+        for (int w = 0; attempt != null && w < ModelState.DAEMONS; w++) {
+            TakeOver seen = rules.onRunSeen(attempt, state.nodes[w].run(), state.now);
+            if (!seen.equals(attempt)) {
+                step(
+                        state,
+                        "seen" + d + w,
+                        false,
+                        next -> next.nodes[d] = next.nodes[d].attempt(seen));
+            }
+        }
+    }
+
+    private void rack(ModelState state, int d) {
+        ModelState.Node node = state.nodes[d];
+        int x = state.owner();
+        Optional<AuthorityRecord> owner = x < 0 ? Optional.empty() : Optional.of(state.records[x]);
+        RackRule.Take take = RackRule.take(state.rack, owner);
+        boolean open = node.authority().confirmed().isPresent();
+        if (take != RackRule.Take.NO && open) {
+            RackRecord taken = RackRule.taken(state.rack, node.run());
+            putRack(state, d, "take", taken, rules.quietEnd(take, state.now));
+        }
+        boolean stale = node.unresolved() || node.viewRevision() != state.rackRevision;
+        boolean owns = node.view() != null && RackRule.isOwner(node.view(), node.run());
+        if (node.unresolved() || (stale && owns)) {
+            step(state, "read" + d, false, next -> next.nodes[d] = read(next, next.nodes[d]));
+            if (node.unresolved() && rules.rewritesBlindly()) {
+                step(
+                        state,
+                        "rewrite" + d,
+                        false,
+                        next -> {
+                            next.rack = node.view();
+                            next.rackRevision++;
+                            next.nodes[d] = node.view(node.view(), next.rackRevision);
+                        });
+            }
+        }
+        if (owns && !stale) {
+            own(state, d);
+        }
+    }
+
+    private static ModelState.Node read(ModelState state, ModelState.Node node) {
+        return node.view(state.rack, state.rackRevision);
+    }
+
+    private void own(ModelState state, int d) {
+        ModelState.Node node = state.nodes[d];
+        int all = (1 << ModelState.HOSTS) - 1;
+        boolean idle = true;
+        for (int h = 0; h < ModelState.HOSTS; h++) {
+            WorkerRecord worker = node.view().workers().get(h);
+            boolean draining = (node.draining() & 1 << h) != 0;
+            SlotTable.Outstanding out = outstanding(state, node, h);
+            idle &= draining && rules.mayGiveUp(out);
+            int bit = 1 << h;
+            if (RackRule.isMoving(worker) && !draining) {
+                step(
+                        state,
+                        "drain" + d + h,
+                        false,
+                        next -> next.nodes[d] = node.draining(node.draining() | bit));
+            }
+            if (RackRule.isMoving(worker) && draining && rules.mayCommit(out)) {
+                RackRecord moved = RackRule.committed(node.view(), worker.worker());
+                putRack(state, d, "commit" + h, moved, node.quietEnd());
+            }
+            if (!RackRule.isMoving(worker) && draining) {
+                step(
+                        state,
+                        "serve" + d + h,
+                        false,
+                        next -> next.nodes[d] = node.draining(node.draining() & ~bit));
+            }
+        }
+        if (parts.contains(Part.STOPS)) {
+            if (node.draining() == 0) {
+                step(state, "stop" + d, true, next -> next.nodes[d] = node.draining(all));
+            }
+            if (idle) {
+                putRack(state, d, "giveup", RackRule.givenUp(node.view()), node.quietEnd());
+            }
+        }
+    }
+
+    private SlotTable.Outstanding outstanding(ModelState state, ModelState.Node node, int h) {
+        long end = node.lastGrant().get(h) + ModelRules.OWNER_SLOT_LEASE;
+        boolean leased = state.now < end || state.now < node.quietEnd();
+        return new SlotTable.Outstanding(leased ? 1 : 0, 0, 0);
+    }
+
+    private void putRack(ModelState state, int d, String name, RackRecord record, long quiet) {
+        step(
+                state,
+                name + d,
+                false,
+                next -> {
+                    next.rack = record;
+                    next.rackRevision++;
+                    next.nodes[d] = next.nodes[d].view(record, next.rackRevision).quietEnd(quiet);
+                });
+        if (parts.contains(Part.LOST_ANSWERS)) {
+            step(
+                    state,
+                    "lost" + name + d,
+                    true,
+                    next -> {
+                        next.rack = record;
+                        next.rackRevision++;
+                        next.nodes[d] = next.nodes[d].unresolved(record).quietEnd(quiet);
+                    });
+        }
+    }
+
+    private void plan(ModelState state) {
+        for (int h = 0; h < ModelState.HOSTS; h++) {
+            WorkerRecord worker = state.rack.workers().get(h);
+            if (RackRule.isMoving(worker) || worker.pool().value().equals("b")) {
+                continue;
+            }
+            List<WorkerRecord> workers = new ArrayList<>(state.rack.workers());
+            workers.set(
+                    h,
+                    new WorkerRecord(
+                            worker.worker(), worker.pool(), new PoolId("b"), worker.state()));
+            RackRecord rack = state.rack;
+            RackRecord planned =
+                    new RackRecord(
+                            rack.rack(),
+                            rack.zone(),
+                            rack.owner(),
+                            rack.ownerBoot(),
+                            rack.epoch(),
+                            workers);
+            step(
+                    state,
+                    "plan" + h,
+                    false,
+                    next -> {
+                        next.rack = planned;
+                        next.rackRevision++;
+                    });
+        }
+    }
+}
