--- a/core/src/main/java/org/crocusgrade/core/dispatch/ServiceQueue.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/ServiceQueue.java
@@ -91,7 +91,7 @@
         }
         PendingRequest entry = new PendingRequest(request, sequence++, now);
         pending.put(request.id(), entry);
-        lanes.add(entry);
+        lanes.add(entry, now);
         pump(now);
     }
 
@@ -190,6 +190,9 @@
         } else if (end.provesNotRun()) {
             slots.pause(worker, now + FULL_PAUSE_NANOS);
         }
+        if (end == RunEnd.ANSWERED || end.blamesWorker()) {
+            slots.judged(worker, end.blamesWorker(), now);
+        }
     }
 
     private void settle(PendingRequest entry, RunEnd end, long now) {
@@ -279,13 +282,12 @@
         while (!delayed.isEmpty() && delayed.first().wakeNanos - now <= 0) {
             PendingRequest entry = delayed.pollFirst();
             entry.state = PendingRequest.State.QUEUED;
-            lanes.add(entry);
+            lanes.add(entry, now);
         }
         pump(now);
     }
 
     private void pump(long now) {
-        sweep(now);
         int free = slots.free(now);
         while (free > 0 && lanes.size() > 0) {
             PendingRequest next =
@@ -297,6 +299,7 @@
             start(next, now);
             free--;
         }
+        sweep(now);
         publish(now);
     }
 
@@ -343,7 +346,6 @@
             lanes.remove(entry);
             giveUpLate(entry, now);
         }
-        lanes.prune();
     }
 
     private void giveUpLate(PendingRequest entry, long now) {
