End each attempt at a worker once, whole or with its connection closed

Cause: a worker that trickled an answer held its slot without end; after a doubled or crossed answer the connection was used again; an answer to HEAD counted as crossed; a refusal header on any status proved not-run; a cancel waited for a connection behind the runs; a change of a service's file threw away what its queue had learned; a slot lost before the send was counted as the worker's failure and cost a retry. Change: AttemptCall ends by answer, failure or a hard time limit and closes its connection unless it got its own whole answer; refusals need 503; cancel has a connection of its own; flows keep their queue while their pool stays; RunEnd.LEASE_LOST starts elsewhere without a token or blame. Conclusion: what a caller gets is its own whole answer or the reason.

--- a/core/src/main/java/org/crocusgrade/core/dispatch/SlotTable.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/GrantedSlots.java
@@ -7,7 +7,7 @@
 import org.crocusgrade.core.id.WorkerId;
 
 /** The slots that the daemon may use, what runs on them, and the choice among the free ones. */
-final class SlotTable {
+final class GrantedSlots {
     private static final int FAILURES_IN_A_ROW = 3;
     private static final long FIRST_PAUSE_NANOS = 20_000_000L;
     private static final long LONGEST_PAUSE_NANOS = 1_000_000_000L;
@@ -17,7 +17,7 @@
     private int granted;
     private int running;
 
-    SlotTable(Optional<AvailabilityZone> zone) {
+    GrantedSlots(Optional<AvailabilityZone> zone) {
         this.zone = zone;
     }
 
--- a/core/src/main/java/org/crocusgrade/core/dispatch/Lanes.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/Lanes.java
@@ -39,7 +39,7 @@
     private static final double RESERVE_AT_MOST = 0.25;
     private static final double MIN_URGENT_COUNT = 1e-6;
 
-    private final QueueSettings settings;
+    private QueueSettings settings;
     private final Lane urgent;
     private final Lane ordinary;
     private final RateMeter started = new RateMeter();
@@ -51,6 +51,11 @@
         ordinary = new Lane(new RunTimes(settings.declaredRunTime()));
     }
 
+    /** Takes changed settings. */
+    void configure(QueueSettings changed) {
+        settings = changed;
+    }
+
     int size() {
         return urgent.queue.size() + ordinary.queue.size();
     }
--- a/core/src/main/java/org/crocusgrade/core/dispatch/PendingRequest.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/PendingRequest.java
@@ -36,6 +36,9 @@
 
     long wakeNanos;
 
+    /** The attempts that were sent, or tried to be. */
+    int sends;
+
     /** How many of its customer's requests wait before it, as counted last. */
     int position;
 
--- a/core/src/main/java/org/crocusgrade/core/dispatch/RunEnd.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/RunEnd.java
@@ -12,6 +12,8 @@
     REFUSED_CONNECTIONS(Kind.NOT_RUN, Reason.WORKERS_REFUSED),
     /** The worker refused before it started: it is leaving. */
     REFUSED_LEAVING(Kind.NOT_RUN, Reason.WORKERS_REFUSED),
+    /** The slot was gone before the attempt could be sent: its lease ended or was recalled. */
+    LEASE_LOST(Kind.NOT_RUN, Reason.WORKERS_REFUSED),
     /** No connection could be made, so not a byte was written. */
     NOT_SENT(Kind.NOT_RUN, Reason.WORKERS_REFUSED),
     /** The connection broke after a byte may have been written. */
--- a/core/src/main/java/org/crocusgrade/core/dispatch/ServiceQueue.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/ServiceQueue.java
@@ -52,9 +52,9 @@
     private final RetryBudget budget = new RetryBudget();
     private final RateMeter refusals = new RateMeter();
     private final List<PendingRequest> givenUp = new ArrayList<>();
-    private final SlotTable slots;
+    private final GrantedSlots slots;
     private final Lanes lanes;
-    private final QueueSettings settings;
+    private QueueSettings settings;
     private List<Needs> largestWorkers = List.of();
     private long sequence;
     private long sweptNanos;
@@ -73,10 +73,17 @@
         this.settings = Objects.requireNonNull(settings);
         this.actions = Objects.requireNonNull(actions);
         this.random = Objects.requireNonNull(random);
-        slots = new SlotTable(settings.zone());
+        slots = new GrantedSlots(settings.zone());
         lanes = new Lanes(settings);
     }
 
+    /** Takes changed settings; what was learned and what was taken stays. */
+    public void configure(QueueSettings changed, long now) {
+        settings = Objects.requireNonNull(changed);
+        lanes.configure(changed);
+        pump(now);
+    }
+
     /** Takes a new request: starts it, lets it wait, or refuses it. */
     public void offer(Request request, long now) {
         if (pending.containsKey(request.id())) {
@@ -202,10 +209,19 @@
             actions.deliver(attempt);
             return;
         }
+        if (end != RunEnd.LEASE_LOST) {
+            entry.sends++;
+        }
         if (!end.provesNotRun()) {
             entry.failed(attempt.worker(), end.failure);
         }
         boolean poison = entry.failedOn.size() >= POISON_WORKERS;
+        if (end == RunEnd.LEASE_LOST && entry.request.deadlineNanos() - now > 0) {
+            actions.retried(attempt, end);
+            entry.state = PendingRequest.State.QUEUED;
+            lanes.add(entry, now);
+            return;
+        }
         if (!poison && mayRetry(entry, end, now) && budget.take()) {
             retry(entry, end, now);
             return;
@@ -224,13 +240,13 @@
 
     private static boolean mayRetry(PendingRequest entry, RunEnd end, long now) {
         return (entry.request.idempotent() || end.provesNotRun())
-                && entry.attempt.number() < MOST_ATTEMPTS
+                && entry.sends < MOST_ATTEMPTS
                 && entry.request.deadlineNanos() - now > 0;
     }
 
     private void retry(PendingRequest entry, RunEnd end, long now) {
         actions.retried(entry.attempt, end);
-        double delay = RETRY_DELAY_NANOS * (1 << entry.attempt.number()) * random.nextDouble();
+        double delay = RETRY_DELAY_NANOS * (1 << entry.sends) * random.nextDouble();
         entry.wakeNanos = now + (long) delay;
         entry.state = PendingRequest.State.DELAYED;
         delayed.add(entry);
--- a/daemon/src/main/java/org/crocusgrade/daemon/edge/CallerApi.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/edge/CallerApi.java
@@ -89,7 +89,8 @@
             refuse(context, NO_SERVICE, withoutService(table, http));
             return;
         }
-        String path = end < rest.length() && rest.charAt(end) == '/' ? rest.substring(end) : "/";
+        String tail = rest.substring(end);
+        String path = tail.startsWith("/") ? tail : "/" + tail;
         ServiceConfig config = flow.config();
         Request request;
         try {
--- a/daemon/src/main/java/org/crocusgrade/daemon/edge/FlowManager.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/edge/FlowManager.java
@@ -16,7 +16,7 @@
 import org.crocusgrade.daemon.control.FleetSnapshot;
 
 /**
- * The flows of all services. A new configuration replaces the table whole; a flow whose service
+ * The flows of all services. A new configuration replaces the table whole; a flow whose pool
  * changed takes no new requests but goes on until its last one is answered. All methods but {@link
  * #table}, {@link #isBusy} and {@link #stop} run on the control thread.
  */
@@ -41,16 +41,19 @@
         return table;
     }
 
-    /** Puts a configuration in force; flows of unchanged services stay. */
+    /** Puts a configuration in force; the flows of services that keep their pool stay. */
     public void apply(FleetConfig config, int daemons) {
         Map<ServiceId, ServiceFlow> before = table.get().flows();
         Map<ServiceId, ServiceFlow> next = new HashMap<>();
         for (ServiceConfig service : config.services().values()) {
             ServiceFlow old = before.get(service.service());
-            boolean same = old != null && old.config().equals(service);
+            boolean stays = old != null && old.config().pool().equals(service.pool());
+            if (stays && !old.config().equals(service)) {
+                old.configure(service);
+            }
             next.put(
                     service.service(),
-                    same ? old : new ServiceFlow(service, parts, executors.get(), daemons));
+                    stays ? old : new ServiceFlow(service, parts, executors.get(), daemons));
         }
         table.set(new FlowTable(next));
         for (ServiceFlow old : before.values()) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/edge/ServiceFlow.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/edge/ServiceFlow.java
@@ -49,22 +49,39 @@
             DaemonMetrics metrics,
             Runnable demandChanged) {}
 
+    /** The time in which a worker ends an attempt that it was asked to cancel. */
+    private static final Duration CANCEL_GRACE = Duration.ofSeconds(1);
+
+    /** The time for which an attempt that must not be cancelled may run on. */
+    private static final Duration RUN_ON_GRACE = Duration.ofMinutes(10);
+
     private final Parts parts;
-    private final ServiceConfig config;
+    private volatile ServiceConfig config;
     private final Mailbox mailbox;
     private final ServiceQueue queue;
     private final Map<RequestId, Exchange> exchanges = new HashMap<>();
     private Set<WorkerId> granted = new HashSet<>();
     private volatile FleetSnapshot fleet = FleetSnapshot.EMPTY;
     private int wantedBefore;
+    private int daemons;
 
     /** Makes a flow; its events run on the executor. */
     public ServiceFlow(ServiceConfig config, Parts parts, Executor executor, int daemons) {
         this.parts = parts;
         this.config = config;
         mailbox = new Mailbox(executor);
-        QueueSettings settings = QueueSettings.of(config, Optional.of(parts.zone()), daemons);
-        queue = new ServiceQueue(settings, this, RandomSource.XO_RO_SHI_RO_128_PP.create());
+        this.daemons = daemons;
+        queue = new ServiceQueue(settings(), this, RandomSource.XO_RO_SHI_RO_128_PP.create());
+    }
+
+    /** Takes a changed configuration of the same service and pool. */
+    void configure(ServiceConfig changed) {
+        config = changed;
+        event(now -> queue.configure(settings(), now));
+    }
+
+    private QueueSettings settings() {
+        return QueueSettings.of(config, Optional.of(parts.zone()), daemons);
     }
 
     /** Returns the service's configuration. */
@@ -92,6 +109,14 @@
         event(this::grant);
     }
 
+    private void countDaemons(long now) {
+        int members = Math.max(1, fleet.members().size());
+        if (members != daemons) {
+            daemons = members;
+            queue.configure(settings(), now);
+        }
+    }
+
     /** Refuses new requests from now on. */
     public void stop() {
         event(queue::stop);
@@ -127,7 +152,7 @@
         Optional<HostEntry> host = fleet.host(attempt.worker());
         if (slot.isEmpty() || host.isEmpty()) {
             slot.ifPresent(held -> parts.slots().release(held, now));
-            event(later -> queue.finished(attempt, RunEnd.NOT_SENT, later));
+            event(later -> queue.finished(attempt, RunEnd.LEASE_LOST, later));
             return;
         }
         exchange.slot = slot.get();
@@ -146,13 +171,18 @@
                         exchange.path,
                         exchange.headers,
                         exchange.body,
-                        Duration.ofNanos(Math.max(1, left)));
+                        Duration.ofNanos(Math.max(0, left)).plus(grace()));
         Slot slot = exchange.slot;
         parts.workers()
                 .run(call)
                 .onSuccess(result -> event(now -> finished(attempt, slot, result, now)));
     }
 
+    /** Returns how long an attempt may go on after its deadline, holding its slot. */
+    private Duration grace() {
+        return config.cancelRunning() ? CANCEL_GRACE : RUN_ON_GRACE;
+    }
+
     private void finished(Attempt attempt, Slot slot, RunResult result, long now) {
         parts.slots().release(slot, now);
         Exchange exchange = exchanges.get(attempt.request().id());
@@ -185,6 +215,7 @@
     }
 
     private void grant(long now) {
+        countDaemons(now);
         Map<WorkerId, HeldSlots> held = new HashMap<>();
         for (Slot slot : parts.slots().usable(config.pool(), now)) {
             held.computeIfAbsent(slot.worker(), worker -> new HeldSlots(slot)).add(slot);
--- a/daemon/src/main/java/org/crocusgrade/daemon/upstream/RunCall.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/upstream/RunCall.java
@@ -20,7 +20,7 @@
  * @param path the caller's path and query within the service, with its leading slash
  * @param headers the caller's headers
  * @param body the caller's whole body
- * @param timeout how long to wait for the answer
+ * @param timeout when to give up, with the connection closed
  */
 public record RunCall(
         RequestId attempt,
--- a/daemon/src/main/java/org/crocusgrade/daemon/upstream/WorkerClient.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/upstream/WorkerClient.java
@@ -1,9 +1,7 @@
 package org.crocusgrade.daemon.upstream;
 
 import io.vertx.core.Future;
-import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
@@ -14,10 +12,9 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Locale;
-import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
-import org.crocusgrade.core.dispatch.RunEnd;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 import org.crocusgrade.core.id.RequestId;
 
 /** Sends attempts to workers over HTTP and judges how each ended. */
@@ -25,20 +22,13 @@
     /** The header that carries an attempt's id, there and back. */
     public static final String REQUEST = "Crocusgrade-Request";
 
-    private static final String SERVICE = "Crocusgrade-Service";
-    private static final String POOL = "Crocusgrade-Pool";
-    private static final String REFUSED = "Crocusgrade-Refused";
-    private static final String CONTENT_LENGTH = "Content-Length";
+    static final String SERVICE = "Crocusgrade-Service";
+    static final String POOL = "Crocusgrade-Pool";
+    static final String REFUSED = "Crocusgrade-Refused";
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(1);
     private static final int KEEP_ALIVE_SECONDS = 5;
-    private static final int CONNECTIONS_PER_WORKER = 8;
-
-    private static final Map<String, RunEnd> REFUSALS =
-            Map.of(
-                    "slots", RunEnd.REFUSED_SLOTS,
-                    "connections", RunEnd.REFUSED_CONNECTIONS,
-                    "leaving", RunEnd.REFUSED_LEAVING);
+    static final int CONNECTIONS_PER_WORKER = 8;
 
     private static final Set<String> HOP_BY_HOP =
             Set.of(
@@ -54,7 +44,9 @@
                     "content-length",
                     "expect");
 
+    private final Vertx vertx;
     private final HttpClient client;
+    private final HttpClient control;
 
     /** Makes a client. */
     public WorkerClient(Vertx vertx) {
@@ -64,30 +56,41 @@
                         .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
                         .setDecompressionSupported(false);
         PoolOptions pool = new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_WORKER);
+        this.vertx = vertx;
         client = vertx.createHttpClient(options, pool);
+        control = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(1));
     }
 
-    /** Sends an attempt; the future always succeeds. */
+    /**
+     * Sends an attempt; the future always succeeds, by the end of the call's time limit. After that
+     * the connection is closed; what the worker still does is not known.
+     */
     public Future<RunResult> run(RunCall call) {
-        RequestOptions options =
-                to(call.worker(), call.method(), "/run" + call.path(), call.timeout());
-        return client.request(options)
-                .compose(
-                        request -> send(request, call),
-                        failure -> Future.succeededFuture(RunResult.without(RunEnd.NOT_SENT)));
+        AttemptCall attempt = new AttemptCall(call);
+        ScheduledFuture<?> limit =
+                vertx.nettyEventLoopGroup()
+                        .next()
+                        .schedule(attempt::expire, call.timeout().toNanos(), TimeUnit.NANOSECONDS);
+        client.request(to(call.worker(), call.method(), "/run" + call.path()))
+                .onSuccess(attempt::connected)
+                .onFailure(e -> attempt.notConnected());
+        return attempt.future().onComplete(result -> limit.cancel(false));
     }
 
     /** Asks a worker to cancel an attempt. */
     public void cancel(InetSocketAddress worker, RequestId attempt) {
         String path = "/control/run/" + attempt.value();
-        client.request(to(worker, HttpMethod.DELETE, path, CANCEL_TIMEOUT))
+        control.request(
+                        to(worker, HttpMethod.DELETE, path)
+                                .setIdleTimeout(CANCEL_TIMEOUT.toMillis()))
                 .compose(HttpClientRequest::send)
                 .compose(HttpClientResponse::end);
     }
 
     /** Closes the connections. */
-    public Future<Void> close() {
-        return client.close();
+    public void close() {
+        client.close();
+        control.close();
     }
 
     /** Returns whether a header may pass through: it is about the message, not a connection. */
@@ -95,51 +98,11 @@
         return !HOP_BY_HOP.contains(header.toLowerCase(Locale.ROOT));
     }
 
-    private static RequestOptions to(
-            InetSocketAddress worker, HttpMethod method, String path, Duration timeout) {
+    private static RequestOptions to(InetSocketAddress worker, HttpMethod method, String path) {
         return new RequestOptions()
                 .setHost(worker.getAddress().getHostAddress())
                 .setPort(worker.getPort())
                 .setMethod(method)
-                .setURI(path)
-                .setIdleTimeout(Math.max(1, timeout.toMillis()));
-    }
-
-    private Future<RunResult> send(HttpClientRequest request, RunCall call) {
-        for (Map.Entry<String, String> header : call.headers()) {
-            if (isEndToEnd(header.getKey())) {
-                request.headers().add(header.getKey(), header.getValue());
-            }
-        }
-        request.putHeader(REQUEST, call.attempt().value());
-        request.putHeader(SERVICE, call.service().value());
-        request.putHeader(POOL, call.pool().value());
-        return request.send(call.body())
-                .compose(
-                        response -> read(response, call),
-                        e -> Future.succeededFuture(RunResult.without(RunEnd.CONNECTION_LOST)));
-    }
-
-    private Future<RunResult> read(HttpClientResponse response, RunCall call) {
-        return response.body()
-                .map(body -> judge(response, body, call))
-                .otherwise(RunResult.without(RunEnd.ANSWER_CUT));
-    }
-
-    private static RunResult judge(HttpClientResponse response, Buffer body, RunCall call) {
-        MultiMap headers = response.headers();
-        String length = headers.get(CONTENT_LENGTH);
-        boolean belongs = call.attempt().value().equals(headers.get(REQUEST));
-        if (!belongs || !Integer.toString(body.length()).equals(length)) {
-            return RunResult.without(RunEnd.ANSWER_MISMATCH);
-        }
-        String refused = headers.get(REFUSED);
-        if (refused != null && REFUSALS.containsKey(refused)) {
-            return RunResult.without(REFUSALS.get(refused));
-        }
-        Answer answer = new Answer(response.statusCode(), headers, body);
-        boolean failed = answer.status() >= 500;
-        RunEnd end = failed ? RunEnd.ANSWERED_FAILURE : RunEnd.ANSWERED;
-        return new RunResult(end, Optional.of(answer));
+                .setURI(path);
     }
 }
