--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -37,6 +37,7 @@
 import org.crocusgrade.daemon.edge.CallerApi;
 import org.crocusgrade.daemon.edge.FlowManager;
 import org.crocusgrade.daemon.edge.HttpRemoteRuns;
+import org.crocusgrade.daemon.edge.InFlight;
 import org.crocusgrade.daemon.edge.KeyedRequests;
 import org.crocusgrade.daemon.edge.ServiceFlow;
 import org.crocusgrade.daemon.link.DemandMessages;
@@ -91,6 +92,7 @@
     private final FlowManager flows;
     private final ClaimRouter claims;
     private final KeyedRequests keyed;
+    private final InFlight inFlight = new InFlight();
     private FleetWatcher fleet;
     private ConfigExchange exchangeConfig;
     private volatile ConfigWatcher configuration;
@@ -166,6 +168,7 @@
                         clock,
                         metrics,
                         keyed,
+                        inFlight,
                         settings.bounds().maxBodyBytes());
         OperatorApi operatorApi = new OperatorApi(metrics, this::isReady, this::status);
         callers = listen(settings.listen().callers(), callerApi.routes(vertx));
@@ -296,9 +299,10 @@
         stopping = true;
         logger.atInfo().log("daemon: %s stopping", settings.daemon());
         ControlThread.pause(settings.bounds().leaveDelay());
+        inFlight.stop();
         flows.stop();
         long end = clock.nanoTime() + settings.bounds().stopTimeout().toNanos();
-        while (flows.isBusy() && clock.nanoTime() - end < 0) {
+        while ((inFlight.isBusy() || flows.isBusy()) && clock.nanoTime() - end < 0) {
             ControlThread.pause(DRAIN_PERIOD);
         }
         close();
--- a/daemon/src/main/java/org/crocusgrade/daemon/edge/CallerApi.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/edge/CallerApi.java
@@ -50,6 +50,7 @@
     private final DaemonMetrics metrics;
     private final long maxBodyBytes;
     private final KeyedRequests keyed;
+    private final InFlight inFlight;
     private final AtomicLong counter = new AtomicLong();
 
     /** Makes the interface over the flows in force, which are replaced whole. */
@@ -59,7 +60,9 @@
             Clock clock,
             DaemonMetrics metrics,
             KeyedRequests keyed,
+            InFlight inFlight,
             long maxBodyBytes) {
+        this.inFlight = inFlight;
         this.flows = flows;
         this.keyed = keyed;
         this.boot = boot;
@@ -71,6 +74,7 @@
     /** Returns the routes. */
     public Router routes(Vertx vertx) {
         Router router = Router.router(vertx);
+        router.route().handler(inFlight::track);
         router.route(PREFIX + "*").handler(BodyHandler.create(false).setBodyLimit(maxBodyBytes));
         router.route(PREFIX + "*").handler(this::handle);
         router.route().handler(context -> refuse(context, NO_SERVICE, Reason.NO_SERVICE));
