Own racks by lease, promises and fences; take over and hand over

Cause: a rack was taken 3 s after its owner was missing from the members, although the owner might still grant, an adopted rack never served, since nobody asked its workers what they run, and all owners stopped when the platform's service was down for longer than a lease.

Change: each daemon keeps an authority record beside its lease and asks its recorded witnesses for promises while the lease is not renewed. A take-over settles, fences the witnesses and closes the record before racks are taken. Renewals go through other daemons when this one does not reach the service. A planned stop recalls, gives its racks up and closes its record. Workers are asked for their running requests while slots of gone daemons are blocked. A pool read back after a commit whose answer was lost is taken over too.

--- a/core/src/main/java/org/crocusgrade/core/fleet/SlotTable.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/SlotTable.java
@@ -104,16 +104,26 @@
         workers.put(worker, ledger);
     }
 
-    /** Changes a worker's pool, when no lease and no holder's work is outstanding. */
-    public void setPool(WorkerId worker, PoolId pool) {
+    /**
+     * Changes a worker's pool if no lease and no holder's work is outstanding.
+     *
+     * @return whether the worker is in the pool now
+     */
+    public boolean setPool(WorkerId worker, PoolId pool) {
         WorkerLedger ledger = workers.get(worker);
-        if (ledger == null || ledger.pool.equals(pool)) {
-            return;
+        if (ledger == null) {
+            return false;
         }
-        if (ledger.count(Use.LEASED) > 0 || ledger.count(Use.LAPSED) > 0) {
-            throw new IllegalStateException("worker changes pool while its slots are out");
+        if (ledger.count(Use.LEASED) == 0 && ledger.count(Use.LAPSED) == 0) {
+            ledger.pool = pool;
         }
-        ledger.pool = pool;
+        return ledger.pool.equals(pool);
+    }
+
+    /** Returns whether slots of a worker are blocked by daemons that are gone. */
+    public boolean hasOrphans(WorkerId worker) {
+        WorkerLedger ledger = workers.get(worker);
+        return ledger != null && ledger.count(Use.ORPHANED) > 0;
     }
 
     /** Starts or stops granting a worker's slots; when stopped, they are recalled. */
--- a/core/src/main/java/org/crocusgrade/core/member/Authority.java
+++ b/core/src/main/java/org/crocusgrade/core/member/Authority.java
@@ -98,6 +98,16 @@
         return self;
     }
 
+    /** Returns whether the record was written since the lease was made. */
+    public boolean isBound() {
+        return lease == Lease.BOUND;
+    }
+
+    /** Returns whether there is a lease that the service knew when last asked. */
+    public boolean hasLease() {
+        return lease != Lease.NONE;
+    }
+
     /** Notes a lease made or renewed by a call sent at the time. */
     public Authority onLease(long sent) {
         long end = sent + times.leaseNanos();
--- a/core/src/main/java/org/crocusgrade/core/member/AuthorityRecord.java
+++ b/core/src/main/java/org/crocusgrade/core/member/AuthorityRecord.java
@@ -1,6 +1,7 @@
 package org.crocusgrade.core.member;
 
 import java.util.Objects;
+import org.crocusgrade.core.id.DaemonId;
 
 /**
  * A daemon's record of its right to own racks, at {@code authority/<daemon>} in the platform's
@@ -14,6 +15,9 @@
  * @param witnesses whose promises and fences count
  */
 public record AuthorityRecord(DaemonRun run, long term, State state, WitnessSet witnesses) {
+    /** The prefix of the records' keys. */
+    public static final String PREFIX = "authority/";
+
     /** Whether the run may own racks. */
     public enum State {
         /** It may. */
@@ -32,6 +36,11 @@
         }
     }
 
+    /** Returns the key of a daemon's record. */
+    public static String key(DaemonId daemon) {
+        return PREFIX + daemon.value();
+    }
+
     /** Returns the record that a run writes next. */
     public AuthorityRecord next(DaemonRun owner, WitnessSet set) {
         return new AuthorityRecord(owner, term + 1, State.OPEN, set);
--- a/core/src/test/java/org/crocusgrade/core/member/ExplorerTest.java
+++ b/core/src/test/java/org/crocusgrade/core/member/ExplorerTest.java
@@ -210,7 +210,11 @@
                     }
                 };
         Set<Part> parts = EnumSet.of(Part.WITNESS_CHANGES, Part.LOST_ANSWERS);
-        isFound(weakened, parts, TAKE_OVER + "|lostwrite0.", "two owners");
+        isFound(
+                weakened,
+                parts,
+                TAKE_OVER.replace("fence1[12]", "fence11") + "|lostwrite01",
+                "two owners");
     }
 
     @Test
--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -22,6 +22,7 @@
 import org.crocusgrade.core.fleet.SlotTimes;
 import org.crocusgrade.core.id.BootId;
 import org.crocusgrade.core.id.DaemonId;
+import org.crocusgrade.core.member.DaemonRun;
 import org.crocusgrade.core.member.MemberRecord;
 import org.crocusgrade.core.port.Clock;
 import org.crocusgrade.daemon.claim.ClaimRouter;
@@ -38,8 +39,10 @@
 import org.crocusgrade.daemon.link.SlotMessages;
 import org.crocusgrade.daemon.metrics.DaemonMetrics;
 import org.crocusgrade.daemon.ops.OperatorApi;
+import org.crocusgrade.daemon.owner.Ownership;
 import org.crocusgrade.daemon.owner.RackKeeper;
 import org.crocusgrade.daemon.owner.SlotExchange;
+import org.crocusgrade.daemon.owner.WorkerProber;
 import org.crocusgrade.daemon.platform.HttpHostPlatform;
 import org.crocusgrade.daemon.platform.HttpKeyValueStore;
 import org.crocusgrade.daemon.settings.Settings;
@@ -57,6 +60,7 @@
     private static final Duration FLOW_PERIOD = Duration.ofMillis(10);
     private static final Duration STORE_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration START_TIMEOUT = Duration.ofSeconds(10);
+    private static final Duration HAND_OVER_TIMEOUT = Duration.ofSeconds(3);
     private static final Duration DRAIN_PERIOD = Duration.ofMillis(20);
     private static final int PEER_THREADS = 1;
 
@@ -83,6 +87,8 @@
     private ConfigExchange exchangeConfig;
     private volatile ConfigWatcher configuration;
     private MemberSession session;
+    private Ownership ownership;
+    private WorkerProber prober;
     private RackKeeper racks;
     private InetSocketAddress peerAddress;
     private HttpServer callers;
@@ -175,7 +181,21 @@
 
     private void startControl(MemberRecord record) {
         fleet = new FleetWatcher(store, hosts, settings.region(), control);
-        session = new MemberSession(store, record, clock, control);
+        ownership =
+                new Ownership(
+                        new DaemonRun(settings.daemon(), boot),
+                        settings.region(),
+                        store,
+                        fleet,
+                        exchange,
+                        table,
+                        clock,
+                        control,
+                        peers::send);
+        session =
+                new MemberSession(
+                        store, record, clock, control, ownership::renew, ownership.authority());
+        prober = new WorkerProber(table, exchange, workers::running, clock, control);
         exchangeConfig =
                 new ConfigExchange(
                         settings.daemon(),
@@ -197,11 +217,11 @@
         racks =
                 new RackKeeper(
                         settings.daemon(),
-                        boot,
                         settings.region(),
                         store,
                         fleet,
-                        session,
+                        ownership.authority(),
+                        ownership.takeOvers(),
                         table,
                         clock,
                         control,
@@ -209,6 +229,7 @@
         fleet.addListener(this::onFleet);
         session.start();
         fleet.start();
+        ownership.start();
         configuration.start();
         long period = CONTROL_PERIOD.toMillis();
         control.scheduleWithFixedDelay(
@@ -228,14 +249,35 @@
         while (flows.isBusy() && clock.nanoTime() - end < 0) {
             pause(DRAIN_PERIOD);
         }
+        handOver();
         close();
     }
 
+    private void handOver() {
+        control.execute(racks::leave);
+        long end = clock.nanoTime() + HAND_OVER_TIMEOUT.toNanos();
+        while (racks.owned() > 0 && clock.nanoTime() - end < 0) {
+            pause(DRAIN_PERIOD);
+        }
+        control.execute(ownership.authority()::leave);
+        pause(DRAIN_PERIOD);
+    }
+
     /** Stops at once, without waiting for anything. */
     public void close() {
         stopping = true;
         if (session != null) {
             session.leave().subscribe().with(v -> {}, failure -> {});
+        }
+        pause(DRAIN_PERIOD);
+        halt();
+    }
+
+    /** Ends everything without a word to anybody, like a crash. */
+    public void halt() {
+        stopping = true;
+        if (session != null) {
+            ownership.stop();
             fleet.stop();
             configuration.stop();
         }
@@ -245,7 +287,6 @@
         if (operators != null) {
             operators.close();
         }
-        pause(DRAIN_PERIOD);
         control.shutdownNow();
         peers.stop();
         workers.close();
@@ -264,6 +305,11 @@
         return bound(settings.listen().operators(), operators);
     }
 
+    /** Returns the daemon's id. */
+    public DaemonId id() {
+        return settings.daemon();
+    }
+
     /** Returns the configuration in force. */
     public ConfigBundle config() {
         return configuration.held();
@@ -302,7 +348,9 @@
     }
 
     private void tick() {
+        ownership.tick(session);
         racks.tick();
+        prober.tick(fleet.snapshot());
         metrics.setRacksOwned(racks.owned());
         exchange.tick(flows.wanted());
         claims.tick();
@@ -424,7 +472,11 @@
                     case CONFIG_DIGEST -> exchangeConfig.onDigest(from, message.getConfigDigest());
                     case CONFIG_PULL -> exchangeConfig.onPull(from, message.getConfigPull());
                     case CONFIG_PUSH -> exchangeConfig.onPush(from, message.getConfigPush());
-                    default -> metrics.dropped(FrameDropReason.MALFORMED);
+                    default -> {
+                        if (!ownership.onMessage(from, sender, message)) {
+                            metrics.dropped(FrameDropReason.MALFORMED);
+                        }
+                    }
                 }
             } catch (IllegalArgumentException e) {
                 metrics.dropped(FrameDropReason.MALFORMED);
--- a/daemon/src/main/java/org/crocusgrade/daemon/control/MemberSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/control/MemberSession.java
@@ -6,8 +6,10 @@
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.crocusgrade.core.member.MemberCodec;
 import org.crocusgrade.core.member.MemberRecord;
+import org.crocusgrade.core.member.MemberTimes;
 import org.crocusgrade.core.port.Clock;
 import org.crocusgrade.core.port.KeyValueStore;
 import org.crocusgrade.core.port.LeaseId;
@@ -20,7 +22,7 @@
  */
 public final class MemberSession {
     /** How long a member lease lasts without renewal. */
-    public static final Duration TIME_TO_LIVE = Duration.ofSeconds(4);
+    public static final Duration TIME_TO_LIVE = MemberTimes.DEFAULT.lease();
 
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration RENEWAL = Duration.ofSeconds(1);
@@ -29,22 +31,41 @@
     private final MemberRecord record;
     private final Clock clock;
     private final ScheduledExecutorService control;
+    private final Function<LeaseId, Uni<Void>> relay;
+    private final Listener listener;
     private volatile Held held;
     private boolean busy;
     private boolean stopped;
 
-    /** Makes a session; {@link #start} makes it join. */
+    /**
+     * Makes a session; {@link #start} makes it join.
+     *
+     * @param relay renews a lease through other daemons
+     */
     public MemberSession(
             KeyValueStore store,
             MemberRecord record,
             Clock clock,
-            ScheduledExecutorService control) {
+            ScheduledExecutorService control,
+            Function<LeaseId, Uni<Void>> relay,
+            Listener listener) {
+        this.relay = relay;
+        this.listener = listener;
         this.store = store;
         this.record = record;
         this.clock = clock;
         this.control = control;
     }
 
+    /** Hears of the lease, on the control thread. */
+    public interface Listener {
+        /** A lease was made or renewed by a call sent at the time. */
+        void onLease(long sentNanos);
+
+        /** The platform's service no longer knows the lease. */
+        void onLeaseLost();
+    }
+
     /**
      * A lease that was valid when last heard of.
      *
@@ -82,15 +103,36 @@
         busy = true;
         long sent = clock.nanoTime();
         Held current = held;
-        Uni<LeaseId> kept =
-                current == null
-                        ? join()
-                        : store.renewLease(current.lease).replaceWith(current.lease);
-        kept.emitOn(control).subscribe().with(lease -> onKept(lease, sent), this::onFailure);
+        Uni<Held> kept = current == null ? join(sent) : renew(current.lease, sent);
+        kept.emitOn(control).subscribe().with(this::onKept, this::onFailure);
+    }
+
+    private Uni<Held> renew(LeaseId lease, long sent) {
+        return store.renewLease(lease)
+                .replaceWith(() -> sent)
+                .onFailure(failure -> !isLost(failure))
+                .recoverWithUni(() -> renewByOthers(lease))
+                .map(time -> new Held(lease, time + TIME_TO_LIVE.toNanos()));
+    }
+
+    private Uni<Long> renewByOthers(LeaseId lease) {
+        return Uni.createFrom()
+                .deferred(
+                        () -> {
+                            long sent = clock.nanoTime();
+                            return relay.apply(lease).replaceWith(() -> sent);
+                        })
+                .runSubscriptionOn(control);
+    }
+
+    private static boolean isLost(Throwable failure) {
+        return failure instanceof StoreException e && e.kind() == StoreException.Kind.LEASE_LOST;
     }
 
-    private Uni<LeaseId> join() {
-        return store.grantLease(TIME_TO_LIVE).chain(lease -> register(lease).replaceWith(lease));
+    private Uni<Held> join(long sent) {
+        return store.grantLease(TIME_TO_LIVE)
+                .chain(lease -> register(lease).replaceWith(lease))
+                .map(lease -> new Held(lease, sent + TIME_TO_LIVE.toNanos()));
     }
 
     private Uni<Long> register(LeaseId lease) {
@@ -101,7 +143,7 @@
                 .chain(revision -> store.compareAndSet(key, revision, value, Optional.of(lease)));
     }
 
-    private void onKept(LeaseId lease, long sent) {
+    private void onKept(Held next) {
         busy = false;
         if (stopped) {
             return;
@@ -109,16 +151,15 @@
         if (held == null) {
             logger.atInfo().log("member: joined as %s", record.daemon());
         }
-        held = new Held(lease, sent + TIME_TO_LIVE.toNanos());
+        held = next;
+        listener.onLease(next.endNanos - TIME_TO_LIVE.toNanos());
     }
 
     private void onFailure(Throwable failure) {
         busy = false;
-        boolean lost =
-                failure instanceof StoreException store
-                        && store.kind() == StoreException.Kind.LEASE_LOST;
-        if (lost) {
+        if (isLost(failure)) {
             held = null;
+            listener.onLeaseLost();
             logger.atWarning().log("member: lease lost, joining again");
             return;
         }
--- a/daemon/src/main/java/org/crocusgrade/daemon/owner/RackKeeper.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/owner/RackKeeper.java
@@ -1,7 +1,6 @@
 package org.crocusgrade.daemon.owner;
 
 import com.google.common.flogger.FluentLogger;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -20,20 +19,22 @@
 import org.crocusgrade.core.fleet.SlotTimes;
 import org.crocusgrade.core.fleet.WorkerRecord;
 import org.crocusgrade.core.fleet.WorkerState;
-import org.crocusgrade.core.id.BootId;
 import org.crocusgrade.core.id.DaemonId;
 import org.crocusgrade.core.id.Epoch;
 import org.crocusgrade.core.id.PoolId;
 import org.crocusgrade.core.id.RackId;
 import org.crocusgrade.core.id.Region;
 import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.member.AuthorityRecord;
+import org.crocusgrade.core.member.MemberRecord;
+import org.crocusgrade.core.member.RackRule;
+import org.crocusgrade.core.member.Rendezvous;
 import org.crocusgrade.core.port.Clock;
 import org.crocusgrade.core.port.HostEntry;
 import org.crocusgrade.core.port.KeyValueStore;
 import org.crocusgrade.daemon.control.FleetSnapshot;
 import org.crocusgrade.daemon.control.FleetSnapshot.VersionedRack;
 import org.crocusgrade.daemon.control.FleetWatcher;
-import org.crocusgrade.daemon.control.MemberSession;
 
 /**
  * Keeps the racks that this daemon owns: makes records for new racks, takes racks without an owner,
@@ -43,41 +44,40 @@
 public final class RackKeeper {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-    /** How long a rack's owner must be missing from the members before the rack is taken. */
-    private static final Duration OWNER_MISSING = Duration.ofSeconds(3);
-
     private final DaemonId self;
-    private final BootId boot;
     private final Region region;
     private final KeyValueStore store;
     private final FleetWatcher watcher;
-    private final MemberSession session;
+    private final AuthorityKeeper authority;
+    private final TakeOverKeeper takeOvers;
     private final SlotTable table;
     private final Clock clock;
     private final ScheduledExecutorService control;
     private final Supplier<FleetConfig> config;
     private final Set<RackId> busy = new HashSet<>();
     private final Set<RackId> granted = new HashSet<>();
-    private final Map<RackId, Long> missingSince = new HashMap<>();
+    private final Set<RackId> handedOver = new HashSet<>();
+    private boolean leaving;
+    private volatile int owned;
 
     /** Makes a keeper without racks. */
     public RackKeeper(
             DaemonId self,
-            BootId boot,
             Region region,
             KeyValueStore store,
             FleetWatcher watcher,
-            MemberSession session,
+            AuthorityKeeper authority,
+            TakeOverKeeper takeOvers,
             SlotTable table,
             Clock clock,
             ScheduledExecutorService control,
             Supplier<FleetConfig> config) {
         this.self = self;
-        this.boot = boot;
         this.region = region;
         this.store = store;
         this.watcher = watcher;
-        this.session = session;
+        this.authority = authority;
+        this.takeOvers = takeOvers;
         this.table = table;
         this.clock = clock;
         this.control = control;
@@ -86,30 +86,34 @@
 
     /** Does what is due for each rack. */
     public void tick() {
-        Optional<MemberSession.Held> lease = session.valid();
-        table.setAuthorityEnd(lease.map(MemberSession.Held::endNanos).orElse(clock.nanoTime()));
-        if (lease.isEmpty()) {
-            return;
-        }
+        long now = clock.nanoTime();
+        table.setAuthorityEnd(authority.end(now));
         FleetSnapshot fleet = watcher.snapshot();
-        createRacks(fleet);
+        boolean mayTake = !leaving && authority.mayTake(now);
+        if (mayTake) {
+            createRacks(fleet);
+        }
         for (VersionedRack rack : fleet.racks().values()) {
-            if (isOwned(rack.record())) {
+            if (RackRule.isOwner(rack.record(), authority.run())) {
                 keep(rack, fleet);
-            } else {
+                continue;
+            }
+            forget(rack.record());
+            if (mayTake) {
                 consider(rack, fleet);
             }
         }
+        owned = granted.size();
     }
 
-    /** Returns the number of racks owned. */
+    /** Returns the number of racks owned, from any thread. */
     public int owned() {
-        return granted.size();
+        return owned;
     }
 
-    private boolean isOwned(RackRecord record) {
-        return record.owner().equals(Optional.of(self))
-                && record.ownerBoot().equals(Optional.of(boot));
+    /** Begins to give all racks up: no slot is leased any more, and each rack goes when it can. */
+    public void leave() {
+        leaving = true;
     }
 
     private void createRacks(FleetSnapshot fleet) {
@@ -146,45 +150,33 @@
                         rack,
                         hosts.get(0).zone(),
                         Optional.of(self),
-                        Optional.of(boot),
+                        Optional.of(authority.run().boot()),
                         Epoch.NONE.next(),
                         workers);
         write(record, KeyValueStore.ABSENT);
     }
 
-    private void consider(VersionedRack rack, FleetSnapshot fleet) {
-        RackRecord record = rack.record();
-        RackId id = record.rack();
-        if (granted.remove(id)) {
+    private void forget(RackRecord record) {
+        if (granted.remove(record.rack())) {
             record.workers().forEach(worker -> table.removeWorker(worker.worker()));
         }
-        if (isOwnerLive(record, fleet)) {
-            missingSince.remove(id);
+    }
+
+    private void consider(VersionedRack rack, FleetSnapshot fleet) {
+        RackRecord record = rack.record();
+        Optional<AuthorityRecord> owner = record.owner().flatMap(takeOvers::record);
+        RackRule.Take take = RackRule.take(record, owner);
+        boolean mine = preferred(record.rack(), fleet).equals(Optional.of(self));
+        if (take == RackRule.Take.NO || !mine || busy.contains(record.rack())) {
             return;
         }
-        long now = clock.nanoTime();
-        long since = missingSince.computeIfAbsent(id, key -> now);
-        boolean mine = preferred(id, fleet).equals(Optional.of(self));
-        if (!mine || now - since < OWNER_MISSING.toNanos()) {
-            return;
+        logger.atInfo().log("owner: taking rack %s", record.rack());
+        if (take == RackRule.Take.AT_ONCE) {
+            handedOver.add(record.rack());
+        } else {
+            handedOver.remove(record.rack());
         }
-        logger.atInfo().log("owner: taking rack %s", id);
-        write(
-                new RackRecord(
-                        id,
-                        record.zone(),
-                        Optional.of(self),
-                        Optional.of(boot),
-                        record.epoch().next(),
-                        record.workers()),
-                rack.revision());
-    }
-
-    private static boolean isOwnerLive(RackRecord record, FleetSnapshot fleet) {
-        return record.owner()
-                .map(fleet.members()::get)
-                .filter(member -> Optional.of(member.boot()).equals(record.ownerBoot()))
-                .isPresent();
+        write(RackRule.taken(record, authority.run()), rack.revision());
     }
 
     private void keep(VersionedRack rack, FleetSnapshot fleet) {
@@ -193,37 +185,34 @@
             adopt(record, fleet);
         }
         long now = clock.nanoTime();
-        List<WorkerRecord> next = new ArrayList<>();
+        RackRecord next = record;
+        boolean idle = true;
         for (WorkerRecord worker : record.workers()) {
             boolean live =
                     fleet.host(worker.worker())
                             .filter(host -> host.state() == HostEntry.State.LIVE)
                             .isPresent();
-            boolean moves = !worker.pool().equals(worker.target());
-            table.setServing(
-                    worker.worker(), live && !moves && worker.state() == WorkerState.SERVING);
-            boolean free = table.outstanding(worker.worker(), now).isNone();
-            next.add(moves && free ? moved(worker) : worker);
+            boolean moves = RackRule.isMoving(worker);
+            boolean serves = live && !moves && worker.state() == WorkerState.SERVING;
+            boolean inPool = table.setPool(worker.worker(), worker.pool());
+            table.setServing(worker.worker(), serves && inPool && !leaving);
+            SlotTable.Outstanding out = table.outstanding(worker.worker(), now);
+            idle &= RackRule.mayGiveUp(out);
+            if (moves && RackRule.mayCommit(out, false)) {
+                next = RackRule.committed(next, worker.worker());
+            }
         }
-        if (!next.equals(record.workers())) {
-            write(
-                    new RackRecord(
-                            record.rack(),
-                            record.zone(),
-                            record.owner(),
-                            record.ownerBoot(),
-                            record.epoch(),
-                            next),
-                    rack.revision());
+        if (leaving && idle) {
+            write(RackRule.givenUp(record), rack.revision());
+        } else if (!next.equals(record)) {
+            write(next, rack.revision());
         }
     }
 
-    private static WorkerRecord moved(WorkerRecord worker) {
-        return new WorkerRecord(worker.worker(), worker.target(), worker.target(), worker.state());
-    }
-
     private void adopt(RackRecord record, FleetSnapshot fleet) {
-        long quiet = clock.nanoTime() + SlotTimes.DEFAULT.ownerLeaseNanos();
+        long now = clock.nanoTime();
+        boolean handed = handedOver.remove(record.rack());
+        long quiet = handed ? now : now + SlotTimes.DEFAULT.ownerLeaseNanos();
         boolean isNew = record.epoch().equals(Epoch.NONE.next());
         for (WorkerRecord worker : record.workers()) {
             int slots = fleet.host(worker.worker()).map(HostEntry::slots).orElse(0);
@@ -251,10 +240,6 @@
                 .with(
                         written -> {
                             busy.remove(rack);
-                            record.workers()
-                                    .forEach(
-                                            worker ->
-                                                    table.setPool(worker.worker(), worker.pool()));
                             watcher.written(record, written);
                         },
                         failure -> {
@@ -263,14 +248,14 @@
                         });
     }
 
-    /** Returns the live daemon with the highest hash for the rack. */
-    private static Optional<DaemonId> preferred(RackId rack, FleetSnapshot fleet) {
-        return fleet.members().keySet().stream()
-                .max(
-                        Comparator.comparingInt(
-                                        (DaemonId daemon) ->
-                                                (daemon.value() + "/" + rack.value()).hashCode()
-                                                        * 0x9E3779B9)
-                                .thenComparing(Comparator.naturalOrder()));
+    /** Returns the live daemon of the region with the highest hash for the rack. */
+    private Optional<DaemonId> preferred(RackId rack, FleetSnapshot fleet) {
+        List<DaemonId> daemons = new ArrayList<>();
+        for (MemberRecord member : fleet.members().values()) {
+            if (member.region().equals(region)) {
+                daemons.add(member.daemon());
+            }
+        }
+        return Rendezvous.highest(FleetWatcher.rackPrefix(region) + rack.value(), daemons);
     }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/upstream/WorkerClient.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/upstream/WorkerClient.java
@@ -85,6 +85,14 @@
                 .compose(HttpClientResponse::end);
     }
 
+    /** Asks a worker how many requests it runs. */
+    public Future<Integer> running(InetSocketAddress worker) {
+        return client.request(to(worker, HttpMethod.GET, "/control/health", CANCEL_TIMEOUT))
+                .compose(HttpClientRequest::send)
+                .compose(HttpClientResponse::body)
+                .map(body -> body.toJsonObject().getInteger("running"));
+    }
+
     /** Closes the connections. */
     public Future<Void> close() {
         return client.close();
