--- a/daemon/src/main/java/org/crocusgrade/daemon/owner/SlotExchange.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/owner/SlotExchange.java
@@ -17,8 +17,10 @@
 import org.crocusgrade.core.port.Clock;
 import org.crocusgrade.core.port.HostEntry;
 import org.crocusgrade.daemon.control.FleetSnapshot;
+import org.crocusgrade.daemon.link.PeerInbox;
 import org.crocusgrade.daemon.link.SlotMessages;
 import org.crocusgrade.peer.proto.Envelope;
+import org.crocusgrade.peer.proto.Envelope.BodyCase;
 
 /**
  * Moves slot messages between this daemon's two sides, borrower and owner, and the other daemons.
@@ -53,6 +55,16 @@
         this.slotsChanged = Objects.requireNonNull(slotsChanged);
     }
 
+    /** Registers what this part takes of the other daemons' messages. */
+    public void register(PeerInbox inbox) {
+        inbox.on(
+                        BodyCase.SLOT_DEMAND,
+                        (from, run, m) -> onDemand(SlotMessages.read(from, run, m.getSlotDemand())))
+                .on(
+                        BodyCase.SLOT_GRANT,
+                        (from, run, m) -> onGrant(SlotMessages.read(from, run, m.getSlotGrant())));
+    }
+
     /** Takes the workers with their owners from a new snapshot. */
     public void fleetChanged(FleetSnapshot fleet) {
         List<Placement> placements = new ArrayList<>();
