--- a/core/src/main/java/org/crocusgrade/core/config/ValueForms.java
+++ b/core/src/main/java/org/crocusgrade/core/config/ValueForms.java
@@ -196,6 +196,9 @@
     /** Returns a duration as a file would have it, in the largest unit that divides it. */
     public static String show(Duration value) {
         String text = value.toMillis() + "ms";
+        if (value.isZero()) {
+            return text;
+        }
         for (Map.Entry<String, Duration> unit : TIME_UNITS.entrySet()) {
             long millis = unit.getValue().toMillis();
             if (value.toMillis() % millis == 0) {
@@ -208,6 +211,9 @@
     /** Returns a size as a file would have it, in the largest unit that divides it. */
     public static String showSize(long bytes) {
         String text = bytes + "B";
+        if (bytes == 0) {
+            return text;
+        }
         for (Map.Entry<String, Long> unit : SIZE_UNITS.entrySet()) {
             if (bytes % unit.getValue() == 0) {
                 text = bytes / unit.getValue() + unit.getKey();
--- a/daemon/src/main/java/org/crocusgrade/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/DaemonMain.java
@@ -5,8 +5,10 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
 import org.crocusgrade.core.config.ConfigException;
 import org.crocusgrade.daemon.settings.Settings;
 import org.crocusgrade.daemon.settings.SettingsReader;
@@ -25,8 +27,12 @@
                         .build()
                         .description("Runs one crocusgrade daemon.");
         parser.addArgument("--settings").required(true).help("the daemon's settings file (INI)");
+        parser.addArgument("--check")
+                .action(Arguments.storeTrue())
+                .help("check the settings file and end without listening");
         try {
-            run(Path.of(parser.parseArgs(args).getString("settings")));
+            Namespace options = parser.parseArgs(args);
+            run(Path.of(options.getString("settings")), options.getBoolean("check"));
         } catch (ArgumentParserException e) {
             parser.handleError(e);
             System.exit(USAGE);
@@ -36,10 +42,15 @@
         }
     }
 
-    private static void run(Path file) throws ConfigException, IOException, DaemonException {
+    private static void run(Path file, boolean checkOnly)
+            throws ConfigException, IOException, DaemonException {
         Settings settings = SettingsReader.read(file);
         setLogLevel(settings.logLevel());
         Daemon daemon = new Daemon(settings);
+        if (checkOnly) {
+            daemon.close();
+            return;
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
         daemon.start();
     }
