--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/DemandLearner.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/DemandLearner.java
@@ -35,7 +35,7 @@
     private static final double OVERDUE_SECONDS = 2.5;
 
     /** Time that a surge is expected to go on once it has outlasted the usual, in seconds. */
-    private static final double OVERRUN_SECONDS = 1;
+    private static final double OVERRUN_SECONDS = 0.3;
 
     /** Least half width of a forecast start's ramp, in seconds. */
     private static final double MIN_RAMP_SECONDS = 0.25;
--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/PlanRound.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/PlanRound.java
@@ -61,6 +61,7 @@
             pools.add(new PoolForecast(p, demand, known(p), settings, idle));
         }
         view.workers().forEach(this::add);
+        pools.forEach(p -> p.startQueue(view.now()));
         workers.sort(order());
         int[] transits = transits();
         double moveWeight = view.weights().moveWeight();
--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolForecast.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolForecast.java
@@ -1,5 +1,8 @@
 package org.crocusgrade.core.fleet.plan;
 
+import java.time.Duration;
+import java.time.Instant;
+
 /**
  * One pool over the horizon: its demand, the workers that are planned to serve it in each step, and
  * what that costs.
@@ -19,7 +22,7 @@
     final int[] leaving;
     private final double stepSeconds;
     private final double idleWeight;
-    private final double firstQueue;
+    private double firstQueue;
     private final double[] capacity;
     private final int[] serving;
     private final int[] arriving;
@@ -39,7 +42,6 @@
         this.known = known;
         this.stepSeconds = settings.step().toNanos() / 1e9;
         this.idleWeight = view.capacity().spare() ? 0 : bufferWeight;
-        this.firstQueue = known ? view.demand().orElseThrow().queuedByAll() : 0;
         this.capacity = new double[settings.steps()];
         this.serving = new int[settings.steps()];
         this.arriving = new int[settings.steps()];
@@ -62,6 +64,20 @@
         }
     }
 
+    /**
+     * Brings what waited at the digest's time forward to now, as the demand and capacity of then
+     * had gone on; to be called once all workers are placed.
+     */
+    void startQueue(Instant now) {
+        if (!known) {
+            return;
+        }
+        DemandDigest digest = view.demand().orElseThrow();
+        double age = Math.max(0, Duration.between(digest.at(), now).toNanos() / 1e9);
+        double grown = (digest.offeredByAll() - capacity[0]) * age;
+        firstQueue = Math.max(0, digest.queuedByAll() + grown);
+    }
+
     /** Adds a worker's place in one step, or takes it away again. */
     void place(int t, int workerSlots, boolean serves, int sign) {
         slots = Math.max(slots, workerSlots);
