Measure control by experiments, run daemons as processes under faults, tag the host list

Cause: the cost of control and the behaviour under faults that come together were not measured, and each daemon read the whole host list every second.

--- /dev/null
+++ b/bench/src/main/java/org/crocusgrade/bench/experiment/ExperimentTable.java
@@ -0,0 +1,105 @@
+package org.crocusgrade.bench.experiment;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** What an experiment measured: rows of numbers, the first column being the size. */
+public final class ExperimentTable {
+    private final String name;
+    private final List<String> columns;
+    private final List<List<Double>> rows = new ArrayList<>();
+
+    /** Makes an empty table; the first column is the size. */
+    public ExperimentTable(String name, List<String> columns) {
+        this.name = name;
+        this.columns = List.copyOf(columns);
+    }
+
+    /** Adds a row. */
+    public void add(List<Double> row) {
+        if (row.size() != columns.size()) {
+            throw new IllegalArgumentException("a row has a value for each column");
+        }
+        rows.add(List.copyOf(row));
+    }
+
+    /** Returns its name. */
+    public String name() {
+        return name;
+    }
+
+    /** Returns the names of its columns. */
+    public List<String> columns() {
+        return columns;
+    }
+
+    /** Returns one column's values. */
+    public List<Double> column(int index) {
+        return rows.stream().map(row -> row.get(index)).toList();
+    }
+
+    /** Returns the line through a column's values over the sizes. */
+    public SlopeFit fit(int index) {
+        return SlopeFit.of(column(0), column(index));
+    }
+
+    /** Returns the table as comma-separated values. */
+    public String toCsv() {
+        StringBuilder text = new StringBuilder(String.join(",", columns)).append('\n');
+        for (List<Double> row : rows) {
+            List<String> values = row.stream().map(ExperimentTable::plain).toList();
+            text.append(String.join(",", values)).append('\n');
+        }
+        return text.toString();
+    }
+
+    /** Returns the table with a line through each column, for people. */
+    public String toText() {
+        StringBuilder text = new StringBuilder();
+        columns.forEach(column -> text.append(String.format("%22s", column)));
+        text.append('\n');
+        for (List<Double> row : rows) {
+            row.forEach(value -> text.append(String.format("%22s", shown(value))));
+            text.append('\n');
+        }
+        if (rows.size() > 1) {
+            text.append("\nslopes over ").append(columns.get(0)).append('\n');
+            for (int i = 1; i < columns.size(); i++) {
+                SlopeFit fit = fit(i);
+                text.append(
+                        String.format(
+                                Locale.ROOT,
+                                "%22s  %s + %s x, R2 %.3f%n",
+                                columns.get(i),
+                                shown(fit.intercept()),
+                                shown(fit.slope()),
+                                fit.rSquared()));
+            }
+        }
+        return text.toString();
+    }
+
+    /** Returns the table as one JSON object. */
+    public JsonObject toJson() {
+        JsonArray all = new JsonArray();
+        for (List<Double> row : rows) {
+            JsonObject json = new JsonObject();
+            for (int i = 0; i < columns.size(); i++) {
+                json.put(columns.get(i), row.get(i));
+            }
+            all.add(json);
+        }
+        return new JsonObject().put("experiment", name).put("rows", all);
+    }
+
+    private static String plain(double value) {
+        return String.format(Locale.ROOT, "%.6g", value);
+    }
+
+    private static String shown(double value) {
+        return String.format(Locale.ROOT, "%.4g", value);
+    }
+}
--- a/bench/src/main/java/org/crocusgrade/bench/promise/NotRunPromise.java
+++ b/bench/src/main/java/org/crocusgrade/bench/promise/NotRunPromise.java
@@ -41,11 +41,24 @@
             for (Receipt run : runs.getOrDefault(call.nonce(), List.of())) {
                 held &= run.start().isAfter(call.ended()) && belongsToAnother(run, call, same);
             }
-            tally.check(held, () -> call.nonce() + " ran, told " + call.reason());
+            tally.check(held, () -> describe(call, same, runs.get(call.nonce())));
         }
         return tally.verdict();
     }
 
+    private static String describe(CallRecord call, List<CallRecord> calls, List<Receipt> runs) {
+        StringBuilder text = new StringBuilder(call.nonce() + " ran, told " + call.reason());
+        for (CallRecord each : calls) {
+            text.append("; called ").append(each.sent()).append(" to ").append(each.ended());
+            text.append(" at ").append(each.target()).append(": ").append(each.reason());
+        }
+        for (Receipt run : runs) {
+            text.append("; ran ").append(run.start()).append(" to ").append(run.end());
+            text.append(" at ").append(run.worker()).append(": ").append(run.ending());
+        }
+        return text.toString();
+    }
+
     private static boolean belongsToAnother(Receipt run, CallRecord call, List<CallRecord> same) {
         for (CallRecord other : same) {
             if (other != call
--- a/cli/src/main/java/org/crocusgrade/cli/Commands.java
+++ b/cli/src/main/java/org/crocusgrade/cli/Commands.java
@@ -15,7 +15,9 @@
                     new LoadCommand(),
                     new StandinPlatformCommand(),
                     new StandinHostsCommand(),
-                    new StandinWorkerCommand());
+                    new StandinWorkerCommand(),
+                    new BenchCommand(),
+                    new FaultsCommand());
 
     private Commands() {}
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -104,6 +104,7 @@
         peers =
                 new PeerNode(
                         settings.daemon(), boot, settings.peerKey(), new Inbox(), PEER_THREADS);
+        metrics.showLink(peers::totals);
         slots = new SlotPool(settings.daemon(), boot, settings.zone(), SlotTimes.DEFAULT);
         table = new SlotTable(settings.daemon(), boot, SlotTimes.DEFAULT);
         exchange =
--- a/daemon/src/main/java/org/crocusgrade/daemon/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/metrics/DaemonMetrics.java
@@ -1,15 +1,18 @@
 package org.crocusgrade.daemon.metrics;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.function.Supplier;
 import org.crocusgrade.core.dispatch.Reason;
 import org.crocusgrade.core.dispatch.RunEnd;
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.peer.FrameDropReason;
+import org.crocusgrade.peer.PeerNode;
 
 /** All metrics of the daemon, in a registry of its own. */
 public final class DaemonMetrics {
@@ -63,6 +66,20 @@
         configVersion.set(version);
     }
 
+    /** Shows what the link between daemons has sent. */
+    public void showLink(Supplier<PeerNode.LinkTotals> totals) {
+        CounterWithCallback.builder()
+                .name("crocusgrade_peer_sent_messages")
+                .help("Messages sent to other daemons.")
+                .callback(counter -> counter.call(totals.get().messages()))
+                .register(registry);
+        CounterWithCallback.builder()
+                .name("crocusgrade_peer_sent_bytes")
+                .help("Bytes of messages sent to other daemons.")
+                .callback(counter -> counter.call(totals.get().bytes()))
+                .register(registry);
+    }
+
     /** Sets the number of racks owned. */
     public void setRacksOwned(int racks) {
         racksOwned.set(racks);
--- a/daemon/src/main/java/org/crocusgrade/daemon/platform/HttpHostPlatform.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/platform/HttpHostPlatform.java
@@ -7,6 +7,7 @@
 import io.vertx.ext.web.client.WebClientOptions;
 import io.vertx.mutiny.core.Vertx;
 import io.vertx.mutiny.core.buffer.Buffer;
+import io.vertx.mutiny.ext.web.client.HttpRequest;
 import io.vertx.mutiny.ext.web.client.HttpResponse;
 import io.vertx.mutiny.ext.web.client.WebClient;
 import java.net.InetAddress;
@@ -24,10 +25,21 @@
 import org.crocusgrade.core.port.HostPlatform;
 import org.crocusgrade.core.port.PlatformException;
 
-/** The platform's host list and reboots over HTTP. */
+/**
+ * The platform's host list and reboots over HTTP. The list that was read last is kept with its
+ * entity tag, so that reading it again costs next to nothing until it changes.
+ */
 public final class HttpHostPlatform implements HostPlatform {
+    private static final String ETAG = "ETag";
+    private static final String IF_NONE_MATCH = "If-None-Match";
+    private static final int OK = 200;
+    private static final int NOT_MODIFIED = 304;
+
     private final WebClient client;
     private final Duration timeout;
+    private volatile Tagged latest = new Tagged("", List.of());
+
+    private record Tagged(String tag, List<HostEntry> hosts) {}
 
     /**
      * Makes a client.
@@ -52,13 +64,16 @@
 
     @Override
     public Uni<List<HostEntry>> hosts() {
-        return client.get("/hosts")
-                .timeout(timeout.toMillis())
-                .send()
+        Tagged known = latest;
+        HttpRequest<Buffer> request = client.get("/hosts").timeout(timeout.toMillis());
+        if (!known.tag().isEmpty()) {
+            request.putHeader(IF_NONE_MATCH, known.tag());
+        }
+        return request.send()
                 .onFailure()
                 .transform(e -> new PlatformException("host list did not answer", e))
                 .onItem()
-                .transformToUni(HttpHostPlatform::hostsOf);
+                .transformToUni(response -> hostsOf(response, known));
     }
 
     @Override
@@ -82,8 +97,11 @@
         return Uni.createFrom().failure(new PlatformException(text));
     }
 
-    private static Uni<List<HostEntry>> hostsOf(HttpResponse<Buffer> response) {
-        if (response.statusCode() != 200) {
+    private Uni<List<HostEntry>> hostsOf(HttpResponse<Buffer> response, Tagged known) {
+        if (response.statusCode() == NOT_MODIFIED && !known.tag().isEmpty()) {
+            return Uni.createFrom().item(known.hosts());
+        }
+        if (response.statusCode() != OK) {
             String text = "host list answered with status " + response.statusCode();
             return Uni.createFrom().failure(new PlatformException(text));
         }
@@ -93,6 +111,8 @@
             for (int i = 0; i < array.size(); i++) {
                 hosts.add(hostOf(array.getJsonObject(i)));
             }
+            String tag = response.getHeader(ETAG);
+            latest = new Tagged(tag == null ? "" : tag, List.copyOf(hosts));
             return Uni.createFrom().item(hosts);
         } catch (RuntimeException | UnknownHostException e) {
             return Uni.createFrom().failure(new PlatformException("host list is malformed", e));
--- a/daemon/src/test/java/org/crocusgrade/daemon/platform/HttpHostPlatformTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/platform/HttpHostPlatformTest.java
@@ -34,6 +34,7 @@
         InetSocketAddress address = await(server.start(vertx, "127.0.0.1", 0));
         HttpHostPlatform platform = new HttpHostPlatform(vertx, address, Duration.ofSeconds(2));
         assertThat(await(platform.hosts()), is(List.of(host())));
+        assertThat(await(platform.hosts()), is(List.of(host())));
         await(platform.reboot(WORKER, "v2", "op-1"));
         await(platform.reboot(WORKER, "v2", "op-1"));
         assertThat(server.state().reboots(), is(1));
--- a/standin/src/main/java/org/crocusgrade/standin/HostListServer.java
+++ b/standin/src/main/java/org/crocusgrade/standin/HostListServer.java
@@ -89,8 +89,15 @@
             context.request().connection().closeAndForget();
             return;
         }
+        HostListState.Version listed = state.listed(faults.lag());
+        String tag = "\"" + listed.number() + "\"";
+        context.response().putHeader("ETag", tag);
+        if (tag.equals(context.request().getHeader("If-None-Match"))) {
+            context.response().setStatusCode(304).endAndForget();
+            return;
+        }
         JsonArray hosts = new JsonArray();
-        state.listed(faults.lag()).forEach(host -> hosts.add(HostJson.toJson(host)));
+        listed.hosts().forEach(host -> hosts.add(HostJson.toJson(host)));
         context.response().putHeader("Content-Type", "application/json");
         context.endAndForget(new JsonObject().put("hosts", hosts).encode());
     }
--- a/standin/src/main/java/org/crocusgrade/standin/hosts/HostListState.java
+++ b/standin/src/main/java/org/crocusgrade/standin/hosts/HostListState.java
@@ -19,7 +19,14 @@
 public final class HostListState {
     private static final int MAX_VERSIONS = 10_000;
 
-    private record Version(long nanos, List<HostEntry> hosts) {}
+    /**
+     * The list as it was at some time.
+     *
+     * @param number grows with each change
+     * @param nanos the monotonic time of the change that made it
+     * @param hosts the hosts
+     */
+    public record Version(long number, long nanos, List<HostEntry> hosts) {}
 
     private final Clock clock;
     private final Map<WorkerId, HostEntry> hosts = new TreeMap<>();
@@ -35,14 +42,14 @@
     }
 
     /** Returns the list as it was a lag ago, or the oldest known. */
-    public synchronized List<HostEntry> listed(Duration lag) {
+    public synchronized Version listed(Duration lag) {
         long at = clock.nanoTime() - lag.toNanos();
-        List<HostEntry> found = versions.peekFirst().hosts();
+        Version found = versions.peekFirst();
         for (Version version : versions) {
             if (version.nanos() - at > 0) {
                 break;
             }
-            found = version.hosts();
+            found = version;
         }
         return found;
     }
@@ -123,7 +130,8 @@
     }
 
     private void addVersion() {
-        versions.addLast(new Version(clock.nanoTime(), List.copyOf(hosts.values())));
+        long number = versions.isEmpty() ? 1 : versions.peekLast().number() + 1;
+        versions.addLast(new Version(number, clock.nanoTime(), List.copyOf(hosts.values())));
         if (versions.size() > MAX_VERSIONS) {
             versions.removeFirst();
         }
