--- a/bench/src/main/java/org/crocusgrade/bench/process/DaemonProcess.java
+++ b/bench/src/main/java/org/crocusgrade/bench/process/DaemonProcess.java
@@ -149,6 +149,13 @@
         awaitEnd();
     }
 
+    /** Ends it at once if it runs, without waiting. */
+    void end() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+
     /** Asks it to stop and waits until it has. */
     public void stop() throws ProcessException {
         process.destroy();
--- a/bench/src/main/java/org/crocusgrade/bench/process/ProcessFleet.java
+++ b/bench/src/main/java/org/crocusgrade/bench/process/ProcessFleet.java
@@ -54,6 +54,7 @@
     private final Balancer balancer;
     private final Path directory;
     private final List<DaemonProcess> daemons = new ArrayList<>();
+    private final Thread ending = new Thread(this::endDaemons, "end-daemons");
     private ConfigBundle published = ConfigBundle.EMPTY;
 
     /** Starts the stand-ins; {@link #startDaemons} starts the daemons. */
@@ -70,6 +71,11 @@
         } catch (IOException e) {
             throw new ProcessException("no directory for settings", e);
         }
+        Runtime.getRuntime().addShutdownHook(ending);
+    }
+
+    private void endDaemons() {
+        daemons.forEach(DaemonProcess::end);
     }
 
     /** Publishes service files as an operator would. */
@@ -188,6 +194,7 @@
                 daemon.kill();
             }
         }
+        Runtime.getRuntime().removeShutdownHook(ending);
         store.close();
         service.stop();
         hosts.stop();
--- a/daemon/src/main/java/org/crocusgrade/daemon/edge/FlowManager.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/edge/FlowManager.java
@@ -1,5 +1,6 @@
 package org.crocusgrade.daemon.edge;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -7,16 +8,18 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import org.crocusgrade.core.config.FleetConfig;
 import org.crocusgrade.core.config.ServiceConfig;
+import org.crocusgrade.core.fleet.plan.DemandReport.PoolDemand;
 import org.crocusgrade.core.id.PoolId;
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.daemon.control.FleetSnapshot;
 
 /**
- * The flows of all services. A new configuration replaces the table whole; a flow whose service
+ * The flows of all services. A new configuration replaces the table whole; a flow whose pool
  * changed takes no new requests but goes on until its last one is answered. All methods but {@link
  * #table}, {@link #isBusy} and {@link #stop} run on the control thread.
  */
@@ -41,16 +44,19 @@
         return table;
     }
 
-    /** Puts a configuration in force; flows of unchanged services stay. */
+    /** Puts a configuration in force; the flows of services that keep their pool stay. */
     public void apply(FleetConfig config, int daemons) {
         Map<ServiceId, ServiceFlow> before = table.get().flows();
         Map<ServiceId, ServiceFlow> next = new HashMap<>();
         for (ServiceConfig service : config.services().values()) {
             ServiceFlow old = before.get(service.service());
-            boolean same = old != null && old.config().equals(service);
+            boolean stays = old != null && old.config().pool().equals(service.pool());
+            if (stays && !old.config().equals(service)) {
+                old.configure(service);
+            }
             next.put(
                     service.service(),
-                    same ? old : new ServiceFlow(service, parts, executors.get(), daemons));
+                    stays ? old : new ServiceFlow(service, parts, executors.get(), daemons));
         }
         table.set(new FlowTable(next));
         for (ServiceFlow old : before.values()) {
@@ -80,6 +86,22 @@
         return wanted;
     }
 
+    /** Returns the demand for each pool, one entry for each flow. */
+    public List<PoolDemand> demand() {
+        return all().stream().map(ServiceFlow::demand).toList();
+    }
+
+    /** Returns the mean run time of a pool's requests. */
+    public Duration meanRunTime(PoolId pool) {
+        double seconds = 0;
+        for (ServiceFlow flow : all()) {
+            if (flow.config().pool().equals(pool)) {
+                seconds = Math.max(seconds, flow.meanRunSeconds());
+            }
+        }
+        return Duration.ofMillis((long) (seconds * TimeUnit.SECONDS.toMillis(1)));
+    }
+
     /** Returns whether any request waits or runs. */
     public boolean isBusy() {
         for (ServiceFlow flow : all()) {
