--- a/daemon/src/main/java/org/crocusgrade/daemon/upstream/WorkerClient.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/upstream/WorkerClient.java
@@ -26,7 +26,7 @@
     static final String POOL = "Crocusgrade-Pool";
     static final String REFUSED = "Crocusgrade-Refused";
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
-    private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration CONTROL_TIMEOUT = Duration.ofSeconds(1);
     private static final int KEEP_ALIVE_SECONDS = 5;
     static final int CONNECTIONS_PER_WORKER = 8;
 
@@ -82,14 +82,16 @@
         String path = "/control/run/" + attempt.value();
         control.request(
                         to(worker, HttpMethod.DELETE, path)
-                                .setIdleTimeout(CANCEL_TIMEOUT.toMillis()))
+                                .setIdleTimeout(CONTROL_TIMEOUT.toMillis()))
                 .compose(HttpClientRequest::send)
                 .compose(HttpClientResponse::end);
     }
 
     /** Asks a worker how many requests it runs. */
     public Future<Integer> running(InetSocketAddress worker) {
-        return client.request(to(worker, HttpMethod.GET, "/control/health", CANCEL_TIMEOUT))
+        return control.request(
+                        to(worker, HttpMethod.GET, "/control/health")
+                                .setIdleTimeout(CONTROL_TIMEOUT.toMillis()))
                 .compose(HttpClientRequest::send)
                 .compose(HttpClientResponse::body)
                 .map(body -> body.toJsonObject().getInteger("running"));
