--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -3,8 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
-import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
 import java.net.InetSocketAddress;
@@ -13,7 +11,6 @@
 import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.crocusgrade.core.config.ConfigBundle;
 import org.crocusgrade.core.fleet.SlotPool;
@@ -24,7 +21,9 @@
 import org.crocusgrade.core.fleet.plan.PlanSettings;
 import org.crocusgrade.core.fleet.plan.PlanWeights;
 import org.crocusgrade.core.id.BootId;
+import org.crocusgrade.core.id.DaemonId;
 import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.member.DaemonRun;
 import org.crocusgrade.core.member.MemberRecord;
 import org.crocusgrade.core.port.Clock;
 import org.crocusgrade.daemon.claim.ClaimRouter;
@@ -40,15 +39,15 @@
 import org.crocusgrade.daemon.edge.InFlight;
 import org.crocusgrade.daemon.edge.KeyedRequests;
 import org.crocusgrade.daemon.edge.ServiceFlow;
-import org.crocusgrade.daemon.link.DemandMessages;
 import org.crocusgrade.daemon.link.PeerInbox;
-import org.crocusgrade.daemon.link.SlotMessages;
 import org.crocusgrade.daemon.metrics.DaemonMetrics;
 import org.crocusgrade.daemon.ops.Condition;
 import org.crocusgrade.daemon.ops.ConditionLog;
 import org.crocusgrade.daemon.ops.OperatorApi;
+import org.crocusgrade.daemon.owner.Ownership;
 import org.crocusgrade.daemon.owner.RackKeeper;
 import org.crocusgrade.daemon.owner.SlotExchange;
+import org.crocusgrade.daemon.owner.WorkerProber;
 import org.crocusgrade.daemon.planner.PlannerRole;
 import org.crocusgrade.daemon.platform.HttpHostPlatform;
 import org.crocusgrade.daemon.platform.HttpKeyValueStore;
@@ -56,7 +55,6 @@
 import org.crocusgrade.daemon.upstream.WorkerClient;
 import org.crocusgrade.peer.PeerException;
 import org.crocusgrade.peer.PeerNode;
-import org.crocusgrade.peer.proto.Envelope.BodyCase;
 
 /** One daemon: wires the parts together, starts and stops them. */
 public final class Daemon {
@@ -65,7 +63,7 @@
     private static final Duration CONTROL_PERIOD = Duration.ofMillis(50);
     private static final Duration FLOW_PERIOD = Duration.ofMillis(10);
     private static final Duration STORE_TIMEOUT = Duration.ofSeconds(2);
-    private static final Duration START_TIMEOUT = Duration.ofSeconds(10);
+    private static final Duration HAND_OVER_TIMEOUT = Duration.ofSeconds(3);
     private static final Duration DRAIN_PERIOD = Duration.ofMillis(20);
     private static final int PEER_THREADS = 1;
     private static final PlanWeights PLAN_WEIGHTS = new PlanWeights(1, 0.05);
@@ -97,11 +95,13 @@
     private ConfigExchange exchangeConfig;
     private volatile ConfigWatcher configuration;
     private MemberSession session;
+    private Ownership ownership;
+    private WorkerProber prober;
     private RackKeeper racks;
     private PlannerRole planner;
     private InetSocketAddress peerAddress;
-    private HttpServer callers;
-    private HttpServer operators;
+    private HttpPort callers;
+    private HttpPort operators;
     private volatile boolean stopping;
 
     /** Makes a daemon; {@link #start} starts it. */
@@ -117,6 +117,7 @@
         store = new HttpKeyValueStore(mutinyVertx, settings.platform().service(), STORE_TIMEOUT);
         hosts = new HttpHostPlatform(mutinyVertx, settings.platform().hosts(), STORE_TIMEOUT);
         peers = new PeerNode(settings.daemon(), boot, settings.peerKey(), inbox, PEER_THREADS);
+        metrics.showLink(peers::totals);
         slots = new SlotPool(settings.daemon(), boot, settings.zone(), SlotTimes.DEFAULT);
         table = new SlotTable(settings.daemon(), boot, SlotTimes.DEFAULT);
         exchange =
@@ -180,42 +181,41 @@
                         settings.region(),
                         settings.zone(),
                         peerAddress,
-                        bound(settings.listen().callers(), callers),
-                        bound(settings.listen().operators(), operators));
-        startControl(record);
+                        callers.address(),
+                        operators.address());
+        makeControl(record);
+        runControl();
         logger.atInfo().log(
-                "daemon: %s started, callers on port %d", settings.daemon(), callers.actualPort());
+                "daemon: %s started, callers on port %d",
+                settings.daemon(), callers.address().getPort());
     }
 
-    private void startControl(MemberRecord record) {
+    private void makeControl(MemberRecord record) {
         fleet = new FleetWatcher(store, hosts, settings.region(), control);
-        session = new MemberSession(store, record, clock, control);
-        exchangeConfig =
-                new ConfigExchange(
-                        settings.daemon(),
-                        record.peers(),
-                        peers::send,
-                        peers::setAddress,
-                        this::onConfig,
-                        ConfigExchange.FAN_OUT);
-        settings.seeds().forEach(peers::setAddress);
-        configuration =
-                new ConfigWatcher(
-                        exchangeConfig,
+        ownership =
+                new Ownership(
+                        new DaemonRun(settings.daemon(), boot),
+                        settings.region(),
                         store,
-                        settings.daemon(),
-                        settings.zone(),
-                        settings.seeds(),
+                        fleet,
+                        exchange,
+                        table,
+                        clock,
                         control,
-                        clock);
+                        peers::send);
+        session =
+                new MemberSession(
+                        store, record, clock, control, ownership::renew, ownership.authority());
+        prober = new WorkerProber(table, exchange, workers::running, clock, control);
+        makeConfiguration(record);
         racks =
                 new RackKeeper(
                         settings.daemon(),
-                        boot,
                         settings.region(),
                         store,
                         fleet,
-                        session,
+                        ownership.authority(),
+                        ownership.takeOvers(),
                         table,
                         clock,
                         control,
@@ -234,9 +234,34 @@
                         () -> configuration.held().fleet(),
                         () -> PLAN_WEIGHTS,
                         peers::send);
+    }
+
+    private void makeConfiguration(MemberRecord record) {
+        exchangeConfig =
+                new ConfigExchange(
+                        settings.daemon(),
+                        record.peers(),
+                        peers::send,
+                        peers::setAddress,
+                        this::onConfig,
+                        ConfigExchange.FAN_OUT);
+        settings.seeds().forEach(peers::setAddress);
+        configuration =
+                new ConfigWatcher(
+                        exchangeConfig,
+                        store,
+                        settings.daemon(),
+                        settings.zone(),
+                        settings.seeds(),
+                        control,
+                        clock);
+    }
+
+    private void runControl() {
         fleet.addListener(this::onFleet);
         session.start();
         fleet.start();
+        ownership.start();
         configuration.start();
         planner.start();
         startConditions();
@@ -247,31 +272,11 @@
     }
 
     private void openInbox() {
-        inbox.on(
-                        BodyCase.SLOT_DEMAND,
-                        (from, run, m) ->
-                                exchange.onDemand(SlotMessages.read(from, run, m.getSlotDemand())))
-                .on(
-                        BodyCase.SLOT_GRANT,
-                        (from, run, m) ->
-                                exchange.onGrant(SlotMessages.read(from, run, m.getSlotGrant())))
-                .on(
-                        BodyCase.CLAIM_REQUEST,
-                        (from, run, m) -> claims.onRequest(from, run, m.getClaimRequest()))
-                .on(BodyCase.CLAIM_REPLY, (from, run, m) -> claims.onReply(m.getClaimReply()))
-                .on(
-                        BodyCase.DEMAND_REPORT,
-                        (from, run, m) ->
-                                planner.onReport(DemandMessages.read(from, m.getDemandReport())))
-                .on(
-                        BodyCase.CONFIG_DIGEST,
-                        (from, run, m) -> exchangeConfig.onDigest(from, m.getConfigDigest()))
-                .on(
-                        BodyCase.CONFIG_PULL,
-                        (from, run, m) -> exchangeConfig.onPull(from, m.getConfigPull()))
-                .on(
-                        BodyCase.CONFIG_PUSH,
-                        (from, run, m) -> exchangeConfig.onPush(from, m.getConfigPush()));
+        exchange.register(inbox);
+        claims.register(inbox);
+        planner.register(inbox);
+        exchangeConfig.register(inbox);
+        ownership.register(inbox);
         inbox.open();
     }
 
@@ -305,14 +310,35 @@
         while ((inFlight.isBusy() || flows.isBusy()) && clock.nanoTime() - end < 0) {
             ControlThread.pause(DRAIN_PERIOD);
         }
+        handOver();
         close();
     }
 
+    private void handOver() {
+        control.execute(racks::leave);
+        long end = clock.nanoTime() + HAND_OVER_TIMEOUT.toNanos();
+        while (racks.owned() > 0 && clock.nanoTime() - end < 0) {
+            ControlThread.pause(DRAIN_PERIOD);
+        }
+        control.execute(ownership.authority()::leave);
+        ControlThread.pause(DRAIN_PERIOD);
+    }
+
     /** Stops at once, without waiting for anything. */
     public void close() {
         stopping = true;
         if (session != null) {
             session.leave().subscribe().with(v -> {}, failure -> {});
+        }
+        ControlThread.pause(DRAIN_PERIOD);
+        halt();
+    }
+
+    /** Ends everything without a word to anybody, like a crash. */
+    public void halt() {
+        stopping = true;
+        if (session != null) {
+            ownership.stop();
             fleet.stop();
             configuration.stop();
             planner.stop();
@@ -323,7 +349,6 @@
         if (operators != null) {
             operators.close();
         }
-        ControlThread.pause(DRAIN_PERIOD);
         control.shutdownNow();
         planning.shutdownNow();
         peers.stop();
@@ -335,12 +360,17 @@
 
     /** Returns the address for callers, with the port that was bound. */
     public InetSocketAddress callers() {
-        return bound(settings.listen().callers(), callers);
+        return callers.address();
     }
 
     /** Returns the address for operators, with the port that was bound. */
     public InetSocketAddress operators() {
-        return bound(settings.listen().operators(), operators);
+        return operators.address();
+    }
+
+    /** Returns the daemon's id. */
+    public DaemonId id() {
+        return settings.daemon();
     }
 
     /** Returns the configuration in force. */
@@ -353,35 +383,14 @@
         return peerAddress;
     }
 
-    private HttpServer listen(InetSocketAddress address, Router router) throws DaemonException {
-        HttpServerOptions options =
-                new HttpServerOptions()
-                        .setHost(address.getAddress().getHostAddress())
-                        .setPort(address.getPort())
-                        .setMaxHeaderSize(settings.bounds().maxHeaderBytes())
-                        .setCompressionSupported(false);
-        try {
-            return vertx.createHttpServer(options)
-                    .requestHandler(router)
-                    .listen()
-                    .toCompletionStage()
-                    .toCompletableFuture()
-                    .get(START_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new DaemonException("Interrupted while binding " + address, e);
-        } catch (java.util.concurrent.ExecutionException
-                | java.util.concurrent.TimeoutException e) {
-            throw new DaemonException("The daemon cannot listen on " + address, e);
-        }
-    }
-
-    private static InetSocketAddress bound(InetSocketAddress wanted, HttpServer server) {
-        return new InetSocketAddress(wanted.getAddress(), server.actualPort());
+    private HttpPort listen(InetSocketAddress address, Router router) throws DaemonException {
+        return HttpPort.listen(vertx, address, router, settings.bounds().maxHeaderBytes());
     }
 
     private void tick() {
+        ownership.tick(session);
         racks.tick();
+        prober.tick(fleet.snapshot());
         metrics.setRacksOwned(racks.owned());
         exchange.tick(flows.wanted());
         claims.tick();
--- a/daemon/src/main/java/org/crocusgrade/daemon/configuration/ConfigExchange.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/configuration/ConfigExchange.java
@@ -20,10 +20,12 @@
 import org.crocusgrade.core.id.ConfigVersion;
 import org.crocusgrade.core.id.DaemonId;
 import org.crocusgrade.core.misc.Addresses;
+import org.crocusgrade.daemon.link.PeerInbox;
 import org.crocusgrade.peer.proto.ConfigDigestMessage;
 import org.crocusgrade.peer.proto.ConfigPullMessage;
 import org.crocusgrade.peer.proto.ConfigPushMessage;
 import org.crocusgrade.peer.proto.Envelope;
+import org.crocusgrade.peer.proto.Envelope.BodyCase;
 
 /**
  * Hands configuration from daemon to daemon, and holds the newest. Everything runs on one thread
@@ -105,6 +107,13 @@
         send.accept(to, ConfigMessages.digest(held.head().version(), address));
     }
 
+    /** Registers what this part takes of the other daemons' messages. */
+    public void register(PeerInbox inbox) {
+        inbox.on(BodyCase.CONFIG_DIGEST, (from, run, m) -> onDigest(from, m.getConfigDigest()))
+                .on(BodyCase.CONFIG_PULL, (from, run, m) -> onPull(from, m.getConfigPull()))
+                .on(BodyCase.CONFIG_PUSH, (from, run, m) -> onPush(from, m.getConfigPush()));
+    }
+
     /** Takes another daemon's version. */
     public void onDigest(DaemonId from, ConfigDigestMessage message) {
         heard = true;
