Describe operation and service files; gauges of queues and slots

Cause: operators need the reasons, metrics, and what to do in one place.

Change: docs/OPERATING.md and docs/SERVICE-FILES.md; advice on the two new reasons, and a test that no reason lacks it; three gauges for each service. A push of configuration is one message, and its receiver asks for the rest, so that no link is flooded; parts used to be dropped.

--- /dev/null
+++ b/bench/src/main/java/org/crocusgrade/bench/spread/Versions.java
@@ -0,0 +1,62 @@
+package org.crocusgrade.bench.spread;
+
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import org.crocusgrade.core.config.BlobId;
+import org.crocusgrade.core.config.ConfigBundle;
+import org.crocusgrade.core.config.ConfigException;
+import org.crocusgrade.core.id.PublishId;
+import org.crocusgrade.core.id.ServiceId;
+
+/** Makes versions of a configuration of 80 services, by changing one file or all. */
+final class Versions {
+    private static final int SERVICES = 80;
+    private static final int COMMENT_CHARS = 97;
+    private static final int COMMENTS = (1 << 20) / SERVICES / (COMMENT_CHARS + 3);
+
+    private ConfigBundle last = ConfigBundle.EMPTY;
+
+    /** Returns the next version, in which so many services have another file. */
+    ConfigBundle next(boolean all) throws ConfigException {
+        int number = (int) last.head().version().value();
+        Map<ServiceId, BlobId> services = new HashMap<>(last.head().services());
+        Map<BlobId, String> files = new HashMap<>();
+        for (int i = 0; i < (all || number == 0 ? SERVICES : 1); i++) {
+            String text = file(i, number);
+            files.put(BlobId.of(text), text);
+            services.put(new ServiceId("service-" + i), BlobId.of(text));
+        }
+        PublishId id = new PublishId("publish-" + number);
+        last = ConfigBundle.assemble(last.head().next(id, Instant.EPOCH, services), files, last);
+        return last;
+    }
+
+    private static String file(int service, int number) {
+        String name = "service-" + service;
+        String text =
+                """
+                [service]
+                name = %s
+                pool = %s
+                class = prompt
+                deadline = %dms
+                run-time = 40ms
+                queue-bound = 512
+                [needs]
+                cores = 4
+                memory = 4GiB
+                [capacity]
+                min-workers = 2
+                usual-workers = 6
+                max-workers = 24
+                [budget]
+                max-unavailable = 1
+                [maintenance]
+                every = 21d
+                max-drain = 2min
+                """
+                        .formatted(name, name, 1000 + number);
+        return text + ("# " + "-".repeat(COMMENT_CHARS) + "\n").repeat(COMMENTS);
+    }
+}
--- a/cli/src/main/java/org/crocusgrade/cli/Advice.java
+++ b/cli/src/main/java/org/crocusgrade/cli/Advice.java
@@ -54,6 +54,13 @@
     RUN_TIMEOUT(
             Reason.RUN_TIMEOUT,
             "The request ran past its deadline. Compare run-time and deadline in the file."),
+    RETRY_GIVEN_UP(
+            Reason.RETRY_GIVEN_UP,
+            "The deadline or the retry budget ended the retries. See which workers fail: `status`,"
+                    + " `hosts`."),
+    KEY_UNCHECKED(
+            Reason.KEY_UNCHECKED,
+            "The daemon that keeps the key was not reached. Send the request again with its key."),
     INTERNAL(Reason.INTERNAL, "A fault of the daemon: see its log, and report it.");
 
     /** The reason. */
--- /dev/null
+++ b/cli/src/test/java/org/crocusgrade/cli/AdviceTest.java
@@ -0,0 +1,23 @@
+package org.crocusgrade.cli;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.crocusgrade.core.dispatch.Reason;
+import org.junit.jupiter.api.Test;
+
+/** Every reason that a caller can be given has advice, here and on the operators' page. */
+class AdviceTest {
+    @Test
+    void everyReasonHasAdvice() throws Exception {
+        String page = Files.readString(Path.of("../docs/OPERATING.md"));
+        for (Reason reason : Reason.values()) {
+            assertThat(reason.code, Advice.of(reason.code).isPresent(), is(true));
+            assertThat(page, containsString("| `" + reason.code + "`"));
+            assertThat(page, containsString(Advice.of(reason.code).orElseThrow().text + " |"));
+        }
+    }
+}
--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -46,6 +46,7 @@
 import org.crocusgrade.daemon.metrics.DaemonMetrics;
 import org.crocusgrade.daemon.ops.Condition;
 import org.crocusgrade.daemon.ops.ConditionLog;
+import org.crocusgrade.daemon.ops.FlowGauges;
 import org.crocusgrade.daemon.ops.OperatorApi;
 import org.crocusgrade.daemon.owner.RackKeeper;
 import org.crocusgrade.daemon.owner.SlotExchange;
@@ -276,6 +277,8 @@
     }
 
     private void startConditions() {
+        FlowGauges.register(
+                metrics.registry(), flows.table()::get, flow -> slots.held(flow.config().pool()));
         conditions
                 .check(Condition.NO_LEASE, () -> session.valid().isEmpty())
                 .check(Condition.NO_CONFIG, () -> flows.table().get().flows().isEmpty())
--- a/daemon/src/main/java/org/crocusgrade/daemon/configuration/ConfigExchange.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/configuration/ConfigExchange.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -45,6 +46,7 @@
     private volatile ConfigBundle held = ConfigBundle.EMPTY;
     private Map<DaemonId, AvailabilityZone> members = Map.of();
     private SpreadTree tree;
+    private final Map<ConfigVersion, DaemonId> roots = new HashMap<>();
     private boolean heard;
 
     /**
@@ -89,7 +91,7 @@
 
     /** Returns whether this daemon is to wait at the platform for its zone. */
     public boolean isWatcher(AvailabilityZone zone) {
-        return tree.watcher(zone).map(self::equals).orElse(true);
+        return zone == null || tree.watcher(zone).map(self::equals).orElse(true);
     }
 
     /** Takes a configuration read from the platform, and hands it on if it is newer. */
@@ -112,8 +114,7 @@
         ConfigVersion theirs = new ConfigVersion(message.getVersion());
         int order = held.head().version().compareTo(theirs);
         if (order > 0) {
-            ConfigMessages.push(held, List.of(), Optional.empty())
-                    .forEach(m -> send.accept(from, m));
+            send.accept(from, ConfigMessages.push(held, List.of(), Optional.empty()));
         } else if (order < 0) {
             send.accept(from, ConfigMessages.pull(List.of(), address));
         }
@@ -130,7 +131,7 @@
                 files.add(file);
             }
         }
-        ConfigMessages.push(held, files, Optional.empty()).forEach(m -> send.accept(from, m));
+        send.accept(from, ConfigMessages.push(held, files, Optional.empty()));
     }
 
     /** Takes a head and files, asks for what is missing, hands the whole on. */
@@ -139,9 +140,14 @@
         ConfigBundle before = held;
         try {
             ConfigHead head = ConfigHeadCodec.read(message.getHead().toByteArray());
+            Optional<DaemonId> named =
+                    Optional.of(message.getRoot()).filter(r -> !r.isEmpty()).map(DaemonId::new);
             switch (intake.take(head, message.getFilesList())) {
-                case TAKEN -> inForce(before, root(message));
-                case INCOMPLETE -> askForRest(from, message);
+                case TAKEN -> inForce(before, named.or(() -> rootOf(head)).orElse(null));
+                case INCOMPLETE -> {
+                    named.ifPresent(root -> keepRoot(head, root));
+                    send.accept(from, ConfigMessages.pull(intake.lacking(), address));
+                }
                 default -> {}
             }
         } catch (ConfigException e) {
@@ -149,29 +155,31 @@
         }
     }
 
-    /** Asks for files unless the rest of a tree's message in several parts is still to come. */
-    private void askForRest(DaemonId from, ConfigPushMessage message) {
-        boolean moreComes = !message.getRoot().isEmpty() && message.getFilesCount() > 0;
-        if (!moreComes) {
-            Collection<BlobId> lacking = intake.lacking();
-            send.accept(from, ConfigMessages.pull(lacking, address));
-        }
+    /** Keeps the root of the newest version under way. */
+    private void keepRoot(ConfigHead head, DaemonId root) {
+        roots.clear();
+        roots.put(head.version(), root);
     }
 
-    private DaemonId root(ConfigPushMessage message) {
-        return message.getRoot().isEmpty() ? self : new DaemonId(message.getRoot());
+    /** Returns the tree's root that a version came from in its first message, if it had one. */
+    private Optional<DaemonId> rootOf(ConfigHead head) {
+        return Optional.ofNullable(roots.get(head.version()));
     }
 
+    /**
+     * Puts what the intake holds in force and hands it on: along the tree that it came by, or, if
+     * it came by no tree, along one from here when this daemon is its zone's watcher.
+     */
     private void inForce(ConfigBundle before, DaemonId root) {
         held = intake.held();
+        roots.clear();
         logger.atInfo().log("config: version %d is in force", held.head().version().value());
-        Collection<String> files = held.missingFrom(before.head()).values();
-        List<Envelope> messages = null;
-        for (DaemonId child : tree.children(self, root)) {
-            if (messages == null) {
-                messages = ConfigMessages.push(held, files, Optional.of(root));
-            }
-            messages.forEach(m -> send.accept(child, m));
+        DaemonId from = root == null && isWatcher(members.get(self)) ? self : root;
+        List<DaemonId> children = from == null ? List.of() : tree.children(self, from);
+        if (!children.isEmpty()) {
+            Collection<String> files = held.missingFrom(before.head()).values();
+            Envelope message = ConfigMessages.push(held, files, Optional.of(from));
+            children.forEach(child -> send.accept(child, message));
         }
         listener.accept(held);
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/configuration/ConfigMessages.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/configuration/ConfigMessages.java
@@ -2,9 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.List;
 import java.util.Optional;
 import org.crocusgrade.core.config.BlobId;
 import org.crocusgrade.core.config.ConfigBundle;
@@ -20,7 +18,7 @@
 /** Writes the messages that hand configuration from daemon to daemon. */
 public final class ConfigMessages {
     /** Most characters of files in one message, well below the largest frame. */
-    private static final int MAX_CHARS = 512 << 10;
+    private static final int MAX_CHARS = 256 << 10;
 
     private ConfigMessages() {}
 
@@ -43,29 +41,24 @@
                 .build();
     }
 
-    /** Hands over the head and files, in as many messages as their size takes. */
-    public static List<Envelope> push(
+    /**
+     * Hands over the head and as many of the files as fit; the receiver asks for the rest, so that
+     * no more is under way to it than it has asked for.
+     */
+    public static Envelope push(
             ConfigBundle bundle, Collection<String> files, Optional<DaemonId> root) {
-        ByteString head = ByteString.copyFrom(ConfigHeadCodec.write(bundle.head()));
-        List<Envelope> messages = new ArrayList<>();
-        ConfigPushMessage.Builder part = start(head, root);
+        ConfigPushMessage.Builder push =
+                ConfigPushMessage.newBuilder()
+                        .setHead(ByteString.copyFrom(ConfigHeadCodec.write(bundle.head())));
+        root.ifPresent(id -> push.setRoot(id.value()));
         int size = 0;
         for (String file : files) {
-            if (size > 0 && size + file.length() > MAX_CHARS) {
-                messages.add(Envelope.newBuilder().setConfigPush(part).build());
-                part = start(head, root);
-                size = 0;
-            }
-            part.addFiles(file);
             size += file.length();
+            if (size > MAX_CHARS) {
+                break;
+            }
+            push.addFiles(file);
         }
-        messages.add(Envelope.newBuilder().setConfigPush(part).build());
-        return messages;
-    }
-
-    private static ConfigPushMessage.Builder start(ByteString head, Optional<DaemonId> root) {
-        ConfigPushMessage.Builder part = ConfigPushMessage.newBuilder().setHead(head);
-        root.ifPresent(id -> part.setRoot(id.value()));
-        return part;
+        return Envelope.newBuilder().setConfigPush(push).build();
     }
 }
