--- a/daemon/src/main/java/org/crocusgrade/daemon/claim/ClaimRouter.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/claim/ClaimRouter.java
@@ -18,9 +18,11 @@
 import org.crocusgrade.core.port.Clock;
 import org.crocusgrade.core.port.KeyValueStore;
 import org.crocusgrade.daemon.link.ClaimMessages;
+import org.crocusgrade.daemon.link.PeerInbox;
 import org.crocusgrade.peer.proto.ClaimReplyMessage;
 import org.crocusgrade.peer.proto.ClaimRequestMessage;
 import org.crocusgrade.peer.proto.Envelope;
+import org.crocusgrade.peer.proto.Envelope.BodyCase;
 
 /**
  * Takes each wish to the daemon that writes the key's log: the one with the highest rendezvous
@@ -80,6 +82,14 @@
         return keeper.size();
     }
 
+    /** Registers what this part takes of the other daemons' messages. */
+    public void register(PeerInbox inbox) {
+        inbox.on(
+                        BodyCase.CLAIM_REQUEST,
+                        (from, run, m) -> onRequest(from, run, m.getClaimRequest()))
+                .on(BodyCase.CLAIM_REPLY, (from, run, m) -> onReply(m.getClaimReply()));
+    }
+
     /** Takes another daemon's wish; on the control thread. */
     public void onRequest(DaemonId from, BootId boot, ClaimRequestMessage message) {
         Claim claim = ClaimMessages.read(from, boot, message);
