--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -43,6 +43,7 @@
 import org.crocusgrade.daemon.metrics.DaemonMetrics;
 import org.crocusgrade.daemon.ops.Condition;
 import org.crocusgrade.daemon.ops.ConditionLog;
+import org.crocusgrade.daemon.ops.FlowGauges;
 import org.crocusgrade.daemon.ops.OperatorApi;
 import org.crocusgrade.daemon.owner.Ownership;
 import org.crocusgrade.daemon.owner.RackKeeper;
@@ -281,6 +282,8 @@
     }
 
     private void startConditions() {
+        FlowGauges.register(
+                metrics.registry(), flows.table()::get, flow -> slots.held(flow.config().pool()));
         conditions
                 .check(Condition.NO_LEASE, () -> session.valid().isEmpty())
                 .check(Condition.NO_CONFIG, () -> flows.table().get().flows().isEmpty())
