--- a/bench/src/main/java/org/crocusgrade/bench/plan/Deployment.java
+++ b/bench/src/main/java/org/crocusgrade/bench/plan/Deployment.java
@@ -69,7 +69,7 @@
                         pool("tour-operators", 9, ServiceClass.MUST_FINISH, false),
                         pool("clerk-desk", 6, ServiceClass.MUST_FINISH, true)),
                 3,
-                new PlanWeights(2, 16));
+                new PlanWeights(2, 32));
     }
 
     /** A fleet small enough for an exact search, with another one's weights. */
