--- a/daemon/src/main/java/org/crocusgrade/daemon/planner/PlannerRole.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/planner/PlannerRole.java
@@ -37,7 +37,9 @@
 import org.crocusgrade.daemon.control.FleetWatcher;
 import org.crocusgrade.daemon.control.MemberSession;
 import org.crocusgrade.daemon.link.DemandMessages;
+import org.crocusgrade.daemon.link.PeerInbox;
 import org.crocusgrade.peer.proto.Envelope;
+import org.crocusgrade.peer.proto.Envelope.BodyCase;
 
 /**
  * Plans moves while this daemon holds the role, and reports demand to whoever does.
@@ -123,6 +125,13 @@
         return List.copyOf(recent);
     }
 
+    /** Registers what this part takes of the other daemons' messages. */
+    public void register(PeerInbox inbox) {
+        inbox.on(
+                BodyCase.DEMAND_REPORT,
+                (from, run, m) -> onReport(DemandMessages.read(from, m.getDemandReport())));
+    }
+
     /** Takes another daemon's report. */
     public void onReport(DemandReport report) {
         board.heard(report, clock.now());
