--- a/bench/src/main/java/org/crocusgrade/bench/experiment/ControlExperiment.java
+++ b/bench/src/main/java/org/crocusgrade/bench/experiment/ControlExperiment.java
@@ -101,6 +101,8 @@
                     List.of(
                             "cpu %",
                             "control %",
+                            "loops %",
+                            "machine %",
                             "MiB",
                             "service B/s",
                             "hosts B/s",
--- a/bench/src/main/java/org/crocusgrade/bench/experiment/Experiment.java
+++ b/bench/src/main/java/org/crocusgrade/bench/experiment/Experiment.java
@@ -23,6 +23,8 @@
                 new PlannerExperiment(),
                 new SpreadExperiment(),
                 new TakeoverExperiment(),
-                new OverheadExperiment());
+                new OverheadExperiment(),
+                new ClaimExperiment(),
+                new StateExperiment());
     }
 }
