Tick seldom while a daemon has no work; report only pools with demand

Change: the timers of queues and slots run at 200 ms while nothing waits, runs or moves, and are woken by work; a demand report leaves out pools without demand.

--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -27,6 +27,7 @@
 import org.crocusgrade.core.member.MemberRecord;
 import org.crocusgrade.core.port.Clock;
 import org.crocusgrade.daemon.claim.ClaimRouter;
+import org.crocusgrade.daemon.concurrent.AdaptiveTimer;
 import org.crocusgrade.daemon.concurrent.ControlThread;
 import org.crocusgrade.daemon.configuration.ConfigExchange;
 import org.crocusgrade.daemon.configuration.ConfigWatcher;
@@ -62,7 +63,9 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration CONDITION_PERIOD = Duration.ofSeconds(1);
     private static final Duration CONTROL_PERIOD = Duration.ofMillis(50);
+    private static final Duration IDLE_CONTROL_PERIOD = Duration.ofMillis(200);
     private static final Duration FLOW_PERIOD = Duration.ofMillis(10);
+    private static final Duration IDLE_FLOW_PERIOD = Duration.ofMillis(200);
     private static final Duration STORE_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration HAND_OVER_TIMEOUT = Duration.ofSeconds(3);
     private static final Duration DRAIN_PERIOD = Duration.ofMillis(20);
@@ -92,6 +95,8 @@
     private final ClaimRouter claims;
     private final KeyedRequests keyed;
     private final InFlight inFlight = new InFlight();
+    private final AdaptiveTimer flowTimer;
+    private final AdaptiveTimer slotTimer;
     private FleetWatcher fleet;
     private ConfigExchange exchangeConfig;
     private volatile ConfigWatcher configuration;
@@ -136,6 +141,12 @@
                         () -> fleet.snapshot().members().keySet(),
                         peers::send);
         HttpRemoteRuns remote = new HttpRemoteRuns(vertx, clock, () -> fleet.snapshot().members());
+        flowTimer =
+                new AdaptiveTimer(
+                        control, FLOW_PERIOD, IDLE_FLOW_PERIOD, flows::isBusy, flows::tick);
+        slotTimer =
+                new AdaptiveTimer(
+                        control, CONTROL_PERIOD, IDLE_CONTROL_PERIOD, this::isActive, this::tick);
         keyed = new KeyedRequests(settings.daemon(), boot, clock, claims, remote);
     }
 
@@ -267,8 +278,8 @@
         planner.start();
         startConditions();
         openInbox();
-        ControlThread.every(control, CONTROL_PERIOD, this::tick);
-        ControlThread.every(control, FLOW_PERIOD, flows::tick);
+        slotTimer.start();
+        flowTimer.start();
         ControlThread.every(control, PlanSettings.DEFAULT.tick(), this::tickPlanner);
     }
 
@@ -413,11 +424,17 @@
         return fleet.snapshot().poolOf(worker).map(flows::meanRunTime).orElse(Duration.ZERO);
     }
 
+    private boolean isActive() {
+        return flows.isBusy() || racks.isChanging();
+    }
+
     private void demandChanged() {
         if (demandChanged.compareAndSet(false, true)) {
             control.execute(
                     () -> {
                         demandChanged.set(false);
+                        flowTimer.wake();
+                        slotTimer.wake();
                         ControlThread.guard(() -> exchange.tick(flows.wanted()));
                     });
         }
@@ -434,6 +451,7 @@
             }
         }
         exchange.fleetChanged(snapshot);
+        slotTimer.wake();
         configuration.membersChanged(snapshot);
     }
 
--- a/daemon/src/main/java/org/crocusgrade/daemon/edge/FlowManager.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/edge/FlowManager.java
@@ -24,6 +24,8 @@
  * #table}, {@link #isBusy} and {@link #stop} run on the control thread.
  */
 public final class FlowManager {
+    private static final double LEAST_SLOTS = 0.001;
+
     private final ServiceFlow.Parts parts;
     private final Supplier<Executor> executors;
     private final AtomicReference<FlowTable> table = new AtomicReference<>(FlowTable.EMPTY);
@@ -86,9 +88,9 @@
         return wanted;
     }
 
-    /** Returns the demand for each pool, one entry for each flow. */
+    /** Returns the demand of each flow that has any. */
     public List<PoolDemand> demand() {
-        return all().stream().map(ServiceFlow::demand).toList();
+        return all().stream().map(ServiceFlow::demand).filter(FlowManager::isAny).toList();
     }
 
     /** Returns the mean run time of a pool's requests. */
@@ -117,6 +119,11 @@
         all().forEach(ServiceFlow::stop);
     }
 
+    private static boolean isAny(PoolDemand demand) {
+        double slots = demand.offeredSlots() + demand.queuedSlots() + demand.runningSlots();
+        return slots >= LEAST_SLOTS;
+    }
+
     private Collection<ServiceFlow> all() {
         List<ServiceFlow> flows = new ArrayList<>(table.get().flows().values());
         flows.addAll(retiring);
--- a/daemon/src/main/java/org/crocusgrade/daemon/owner/RackKeeper.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/owner/RackKeeper.java
@@ -111,6 +111,26 @@
         return owned;
     }
 
+    /** Returns whether any worker of this daemon's racks moves or drains; on the control thread. */
+    public boolean isChanging() {
+        for (VersionedRack rack : watcher.snapshot().racks().values()) {
+            if (RackRule.isOwner(rack.record(), authority.run()) && isChanging(rack.record())) {
+                return true;
+            }
+        }
+        return leaving;
+    }
+
+    private static boolean isChanging(RackRecord record) {
+        for (WorkerRecord worker : record.workers()) {
+            boolean moves = !worker.pool().equals(worker.target());
+            if (moves || worker.state() == WorkerState.DRAINING) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Begins to give all racks up: no slot is leased any more, and each rack goes when it can. */
     public void leave() {
         leaving = true;
