Carry out maintenance in the daemon that holds the planner's role

Cause: waves were decided on paper only, and operators saw none of the planner's reasons. Change: the role reads the record, writes the next one by compare-and-swap, then drains, reboots through the platform and gives back; owners turn a drained worker over to maintenance. A new holder takes each worker as just moved, so that dwell holds over a take-over.

--- a/bench/src/main/java/org/crocusgrade/bench/maintenance/WaveDriver.java
+++ b/bench/src/main/java/org/crocusgrade/bench/maintenance/WaveDriver.java
@@ -97,6 +97,7 @@
                             false,
                             h.state,
                             h.up ? HostEntry.State.LIVE : HostEntry.State.DOWN,
+                            h.up ? Instant.EPOCH : now,
                             h.up,
                             h.image));
         }
--- a/core/src/main/java/org/crocusgrade/core/maintenance/MaintenanceView.java
+++ b/core/src/main/java/org/crocusgrade/core/maintenance/MaintenanceView.java
@@ -46,6 +46,7 @@
      * @param moving whether it is on its way to another pool
      * @param state what its owner lets happen on it
      * @param host the platform's view of it
+     * @param lastDown when the platform last listed it as down, or {@link Instant#EPOCH}
      * @param answers whether its owner's probes are answered
      * @param image the version of its image
      */
@@ -57,6 +58,7 @@
             boolean moving,
             WorkerState state,
             HostEntry.State host,
+            Instant lastDown,
             boolean answers,
             String image) {
         /** Checks the fields. */
@@ -67,6 +69,7 @@
             Objects.requireNonNull(pool);
             Objects.requireNonNull(state);
             Objects.requireNonNull(host);
+            Objects.requireNonNull(lastDown);
             Objects.requireNonNull(image);
         }
 
--- a/core/src/main/java/org/crocusgrade/core/maintenance/WaveRound.java
+++ b/core/src/main/java/org/crocusgrade/core/maintenance/WaveRound.java
@@ -172,7 +172,9 @@
         boolean live = host.host() == HostEntry.State.LIVE;
         boolean imaged = image.isEmpty() || image.get().equals(host.image());
         boolean late = progress.since().plus(view.policy().rebootTimeout()).isBefore(now);
-        if (progress.phase() == Phase.REBOOTING && host.host() == HostEntry.State.DOWN) {
+        boolean wasDown =
+                host.host() == HostEntry.State.DOWN || host.lastDown().isAfter(progress.since());
+        if (progress.phase() == Phase.REBOOTING && wasDown) {
             hosts.put(host.worker(), progress.to(Phase.DOWN, now));
         } else if (progress.phase() == Phase.DOWN && live && !imaged) {
             fail(host, progress, MaintenanceReason.WRONG_IMAGE);
--- a/core/src/main/java/org/crocusgrade/core/member/RackRule.java
+++ b/core/src/main/java/org/crocusgrade/core/member/RackRule.java
@@ -6,6 +6,7 @@
 import org.crocusgrade.core.fleet.RackRecord;
 import org.crocusgrade.core.fleet.SlotTable;
 import org.crocusgrade.core.fleet.WorkerRecord;
+import org.crocusgrade.core.fleet.WorkerState;
 import org.crocusgrade.core.id.PoolId;
 import org.crocusgrade.core.id.WorkerId;
 
@@ -87,6 +88,18 @@
         return out.leased() == 0;
     }
 
+    /** Returns the record in which a worker has another state. */
+    public static RackRecord withState(RackRecord rack, WorkerId worker, WorkerState state) {
+        List<WorkerRecord> workers = new ArrayList<>();
+        for (WorkerRecord each : rack.workers()) {
+            boolean meant = each.worker().equals(worker);
+            WorkerState next = meant ? state : each.state();
+            workers.add(new WorkerRecord(each.worker(), each.pool(), each.target(), next));
+        }
+        return new RackRecord(
+                rack.rack(), rack.zone(), rack.owner(), rack.ownerBoot(), rack.epoch(), workers);
+    }
+
     /** Returns the record in which a worker has reached its target pool. */
     public static RackRecord committed(RackRecord rack, WorkerId worker) {
         List<WorkerRecord> workers = new ArrayList<>();
--- a/core/src/test/java/org/crocusgrade/core/maintenance/FakeHosts.java
+++ b/core/src/test/java/org/crocusgrade/core/maintenance/FakeHosts.java
@@ -61,6 +61,7 @@
                             false,
                             h.state,
                             h.up ? HostEntry.State.LIVE : HostEntry.State.DOWN,
+                            h.up ? Instant.EPOCH : now,
                             h.up,
                             h.image));
             pools.put(
--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -23,6 +23,7 @@
 import org.crocusgrade.core.id.BootId;
 import org.crocusgrade.core.id.DaemonId;
 import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.maintenance.RolloutPolicy;
 import org.crocusgrade.core.member.DaemonRun;
 import org.crocusgrade.core.member.MemberRecord;
 import org.crocusgrade.core.port.Clock;
@@ -48,7 +49,9 @@
 import org.crocusgrade.daemon.owner.RackKeeper;
 import org.crocusgrade.daemon.owner.SlotExchange;
 import org.crocusgrade.daemon.owner.WorkerProber;
+import org.crocusgrade.daemon.planner.MaintenanceRole;
 import org.crocusgrade.daemon.planner.PlannerRole;
+import org.crocusgrade.daemon.planner.PlannerStatus;
 import org.crocusgrade.daemon.platform.HttpHostPlatform;
 import org.crocusgrade.daemon.platform.HttpKeyValueStore;
 import org.crocusgrade.daemon.settings.Settings;
@@ -66,6 +69,7 @@
     private static final Duration HAND_OVER_TIMEOUT = Duration.ofSeconds(3);
     private static final Duration DRAIN_PERIOD = Duration.ofMillis(20);
     private static final int PEER_THREADS = 1;
+    private static final Duration MAINTENANCE_PERIOD = Duration.ofSeconds(2);
     private static final PlanWeights PLAN_WEIGHTS = new PlanWeights(1, 0.05);
 
     private final Settings settings;
@@ -99,6 +103,7 @@
     private WorkerProber prober;
     private RackKeeper racks;
     private PlannerRole planner;
+    private MaintenanceRole maintenance;
     private InetSocketAddress peerAddress;
     private HttpPort callers;
     private HttpPort operators;
@@ -234,6 +239,17 @@
                         () -> configuration.held().fleet(),
                         () -> PLAN_WEIGHTS,
                         peers::send);
+        maintenance =
+                new MaintenanceRole(
+                        settings.region(),
+                        store,
+                        hosts,
+                        fleet,
+                        clock,
+                        control,
+                        () -> configuration.held().fleet(),
+                        () -> RolloutPolicy.DEFAULT,
+                        planner);
     }
 
     private void makeConfiguration(MemberRecord record) {
@@ -269,6 +285,7 @@
         ControlThread.every(control, CONTROL_PERIOD, this::tick);
         ControlThread.every(control, FLOW_PERIOD, flows::tick);
         ControlThread.every(control, PlanSettings.DEFAULT.tick(), this::tickPlanner);
+        ControlThread.every(control, MAINTENANCE_PERIOD, maintenance::tick);
     }
 
     private void openInbox() {
@@ -430,6 +447,7 @@
                 peers.setAddress(member.daemon(), member.peers());
             }
         }
+        maintenance.observe(snapshot);
         exchange.fleetChanged(snapshot);
         configuration.membersChanged(snapshot);
     }
@@ -455,7 +473,9 @@
                             .put("wantedSlots", flow.wantedSlots())
                             .put("heldSlots", slots.held(flow.config().pool())));
         }
-        return new JsonObject()
+        JsonObject status = new JsonObject();
+        maintenance.last().ifPresent(s -> status.put("maintenance", PlannerStatus.maintenance(s)));
+        return status.put("planner", PlannerStatus.planner(planner))
                 .put("daemon", settings.daemon().value())
                 .put("boot", boot.value())
                 .put("zone", settings.zone().value())
--- a/daemon/src/main/java/org/crocusgrade/daemon/owner/RackKeeper.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/owner/RackKeeper.java
@@ -201,6 +201,10 @@
             if (moves && RackRule.mayCommit(out, false)) {
                 next = RackRule.committed(next, worker.worker());
             }
+            boolean drains = worker.state() == WorkerState.DRAINING && !moves;
+            if (drains && RackRule.mayCommit(out, false)) {
+                next = RackRule.withState(next, worker.worker(), WorkerState.MAINTENANCE);
+            }
         }
         if (leaving && idle) {
             write(RackRule.givenUp(record), rack.revision());
--- a/daemon/src/main/java/org/crocusgrade/daemon/planner/PlannerRole.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/planner/PlannerRole.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -19,6 +20,7 @@
 import org.crocusgrade.core.fleet.WorkerRecord;
 import org.crocusgrade.core.fleet.plan.DefaultPlanner;
 import org.crocusgrade.core.fleet.plan.DemandBoard;
+import org.crocusgrade.core.fleet.plan.DemandDigest;
 import org.crocusgrade.core.fleet.plan.DemandReport;
 import org.crocusgrade.core.fleet.plan.FleetView;
 import org.crocusgrade.core.fleet.plan.Plan;
@@ -27,6 +29,7 @@
 import org.crocusgrade.core.fleet.plan.Planner;
 import org.crocusgrade.core.id.BootId;
 import org.crocusgrade.core.id.DaemonId;
+import org.crocusgrade.core.id.Epoch;
 import org.crocusgrade.core.id.PoolId;
 import org.crocusgrade.core.id.Region;
 import org.crocusgrade.core.id.WorkerId;
@@ -68,7 +71,8 @@
     private final BiConsumer<DaemonId, Envelope> sender;
     private final RoleHolder role;
     private final DemandBoard board = new DemandBoard(FRESH);
-    private final Deque<Plan.Move> recent = new ArrayDeque<>();
+    private final Deque<Decided> recent = new ArrayDeque<>();
+    private volatile List<Decided> shown = List.of();
     private ViewBuilder views = new ViewBuilder();
     private Planner planner;
     private boolean planning;
@@ -115,14 +119,29 @@
         role.stop();
     }
 
+    /** Returns whether this daemon holds the role. */
+    public boolean isHeld() {
+        return role.isHeld();
+    }
+
+    /** Returns the epoch of the last holder known. */
+    public Epoch epoch() {
+        return role.epoch();
+    }
+
+    /** Returns a pool's demand as far as it was reported to this daemon. */
+    public Optional<DemandDigest> demand(PoolId pool) {
+        return board.digest(pool, fleet.snapshot().members().size(), clock.now());
+    }
+
     /** Returns who holds the role as far as is known. */
     public Optional<DaemonId> holder() {
         return role.holder();
     }
 
     /** Returns the moves that this daemon decided on lately, the newest first. */
-    public List<Plan.Move> recent() {
-        return List.copyOf(recent);
+    public List<Decided> recent() {
+        return shown;
     }
 
     /** Registers what this part takes of the other daemons' messages. */
@@ -239,9 +258,18 @@
     private void remember(Plan.Move move) {
         logger.atFine().log(
                 "planner: %s goes from %s to %s", move.worker(), move.from(), move.to());
-        recent.addFirst(move);
+        recent.addFirst(new Decided(clock.now(), move));
         if (recent.size() > MAX_RECENT) {
             recent.removeLast();
         }
+        shown = List.copyOf(recent);
     }
+
+    /**
+     * A move that was decided on and written.
+     *
+     * @param at when it was written
+     * @param move the move
+     */
+    public record Decided(Instant at, Plan.Move move) {}
 }
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/planner/PlannerStatus.java
@@ -0,0 +1,65 @@
+package org.crocusgrade.daemon.planner;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.crocusgrade.core.fleet.plan.Plan;
+import org.crocusgrade.core.maintenance.MaintenanceDecision;
+import org.crocusgrade.core.maintenance.MaintenanceStep;
+
+/** What operators are shown of the planner and of maintenance. */
+public final class PlannerStatus {
+    private PlannerStatus() {}
+
+    /** Returns the decisions with their inputs, the newest first; empty for other daemons. */
+    public static JsonObject planner(PlannerRole role) {
+        JsonArray moves = new JsonArray();
+        role.recent().forEach(decided -> moves.add(move(decided)));
+        JsonObject json = new JsonObject();
+        role.holder().ifPresent(holder -> json.put("holder", holder.value()));
+        return json.put("epoch", role.epoch().value()).put("moves", moves);
+    }
+
+    private static JsonObject move(PlannerRole.Decided decided) {
+        Plan.Move move = decided.move();
+        Plan.Inputs in = move.inputs();
+        return new JsonObject()
+                .put("at", decided.at().toString())
+                .put("worker", move.worker().value())
+                .put("from", move.from().value())
+                .put("to", move.to().value())
+                .put("reason", move.reason().code)
+                .put("text", move.reason().text)
+                .put("fromWorkers", in.fromWorkers())
+                .put("toWorkers", in.toWorkers())
+                .put("fromSlots", in.fromSlots())
+                .put("toSlots", in.toSlots())
+                .put("drainMillis", in.drainTime().toMillis())
+                .put("toSaved", in.toSaved())
+                .put("fromAdded", in.fromAdded())
+                .put("laterSaved", in.laterSaved())
+                .put("moveCost", in.moveCost())
+                .put("gain", in.gain());
+    }
+
+    /** Returns where the wave stands; the holds are by pool. */
+    public static JsonObject maintenance(MaintenanceStep step) {
+        JsonObject json = new JsonObject();
+        json.put("wave", step.record().wave()).put("status", step.record().status().name());
+        step.record().stopped().ifPresent(why -> json.put("stopped", why.code));
+        step.record().image().ifPresent(image -> json.put("image", image));
+        MaintenanceStep.Progress progress = step.progress();
+        JsonObject holds = new JsonObject();
+        for (MaintenanceDecision decision : step.decisions()) {
+            if (decision instanceof MaintenanceDecision.Hold hold) {
+                holds.put(hold.pool().value(), hold.reason().code);
+            }
+        }
+        return json.put("due", progress.due())
+                .put("active", progress.active())
+                .put("done", progress.done())
+                .put("failed", progress.failed())
+                .put("overdue", progress.overdue())
+                .put("estimatedSeconds", progress.left().toSeconds())
+                .put("holds", holds);
+    }
+}
--- a/daemon/src/main/java/org/crocusgrade/daemon/planner/ViewBuilder.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/planner/ViewBuilder.java
@@ -72,8 +72,8 @@
     private Instant lastMove(WorkerRecord worker, Instant now) {
         Target known = targets.get(worker.worker());
         if (known == null) {
-            targets.put(worker.worker(), new Target(worker.target(), Instant.EPOCH));
-            return Instant.EPOCH;
+            targets.put(worker.worker(), new Target(worker.target(), now));
+            return now;
         }
         if (!known.pool.equals(worker.target())) {
             targets.put(worker.worker(), new Target(worker.target(), now));
--- a/daemon/src/test/java/org/crocusgrade/daemon/TestFleet.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/TestFleet.java
@@ -45,6 +45,7 @@
     private static final int CONNECTIONS = 64;
     private static final String LOOPBACK = "127.0.0.1";
     private static final long SEED = 1;
+    private static final Duration REBOOT = Duration.ofSeconds(4);
 
     public final Vertx vertx = Vertx.vertx();
     public final PlatformServer platform = new PlatformServer(Clock.system(), SEED);
@@ -71,7 +72,7 @@
             WorkerId id = new WorkerId("w" + i);
             entries.add(entry(i, id, worker.orElseGet(() -> startWorker(id))));
         }
-        hosts = new HostListServer(Clock.system(), entries, Duration.ZERO, Duration.ofSeconds(1));
+        hosts = new HostListServer(Clock.system(), entries, Duration.ZERO, REBOOT);
         hostsAddress = hosts.start(vertx, LOOPBACK, 0).await().atMost(WAIT);
     }
 
