Compare shapes of spreading, show the planner's moves, honour borrow-from

Cause: the fan-out of the configuration's tree was not measured, and two things were accepted or asked for but not followed: borrow-from, and the planner's moves on the status page.

Change: experiment config-shapes over real links; the planner writes no move that the taking pool's file does not allow; the holder's status has its latest moves with their inputs.

--- a/bench/src/main/java/org/crocusgrade/bench/experiment/Experiment.java
+++ b/bench/src/main/java/org/crocusgrade/bench/experiment/Experiment.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import org.crocusgrade.bench.spread.ShapesExperiment;
 
 /** One named, bounded experiment. */
 public interface Experiment {
@@ -22,6 +23,7 @@
                 new ControlExperiment(ControlExperiment.Sweep.POOLS),
                 new PlannerExperiment(),
                 new SpreadExperiment(),
+                new ShapesExperiment(),
                 new TakeoverExperiment(),
                 new OverheadExperiment());
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -45,6 +45,7 @@
 import org.crocusgrade.daemon.ops.ConditionLog;
 import org.crocusgrade.daemon.ops.FlowGauges;
 import org.crocusgrade.daemon.ops.OperatorApi;
+import org.crocusgrade.daemon.ops.PlannerPage;
 import org.crocusgrade.daemon.owner.Ownership;
 import org.crocusgrade.daemon.owner.RackKeeper;
 import org.crocusgrade.daemon.owner.SlotExchange;
@@ -458,17 +459,22 @@
                             .put("wantedSlots", flow.wantedSlots())
                             .put("heldSlots", slots.held(flow.config().pool())));
         }
-        return new JsonObject()
-                .put("daemon", settings.daemon().value())
-                .put("boot", boot.value())
-                .put("zone", settings.zone().value())
-                .put("ready", isReady())
-                .put("configVersion", configuration.held().head().version().value())
-                .put("configPublish", configuration.held().head().publish().value())
-                .put("configSettled", configuration.isSettled())
-                .put("racksOwned", racks.owned())
-                .put("members", fleet.snapshot().members().size())
-                .put("problems", conditions.json())
-                .put("services", services);
+        JsonObject page =
+                new JsonObject()
+                        .put("daemon", settings.daemon().value())
+                        .put("boot", boot.value())
+                        .put("zone", settings.zone().value())
+                        .put("ready", isReady())
+                        .put("configVersion", configuration.held().head().version().value())
+                        .put("configPublish", configuration.held().head().publish().value())
+                        .put("configSettled", configuration.isSettled())
+                        .put("racksOwned", racks.owned())
+                        .put("members", fleet.snapshot().members().size())
+                        .put("problems", conditions.json())
+                        .put("services", services);
+        if (planner.holder().filter(settings.daemon()::equals).isPresent()) {
+            page.put("planner", PlannerPage.of(planner.recent()));
+        }
+        return page;
     }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/planner/PlannerRole.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/planner/PlannerRole.java
@@ -14,6 +14,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.crocusgrade.core.config.FleetConfig;
+import org.crocusgrade.core.config.ServiceConfig;
 import org.crocusgrade.core.fleet.RackCodec;
 import org.crocusgrade.core.fleet.RackRecord;
 import org.crocusgrade.core.fleet.WorkerRecord;
@@ -190,12 +191,24 @@
             return;
         }
         Map<WorkerId, Plan.Move> moves = new HashMap<>();
-        plan.moves().forEach(move -> moves.put(move.worker(), move));
+        plan.moves().stream()
+                .filter(this::isAllowed)
+                .forEach(move -> moves.put(move.worker(), move));
         for (VersionedRack rack : snapshot.racks().values()) {
             write(rack, moves);
         }
     }
 
+    /** Returns whether the taking pool's file lets it take workers of the giving pool. */
+    private boolean isAllowed(Plan.Move move) {
+        for (ServiceConfig service : config.get().services().values()) {
+            if (service.pool().equals(move.to())) {
+                return service.capacity().mayBorrowFrom(move.from());
+            }
+        }
+        return true;
+    }
+
     private void write(VersionedRack rack, Map<WorkerId, Plan.Move> moves) {
         List<WorkerRecord> next = new ArrayList<>();
         List<Plan.Move> written = new ArrayList<>();
