--- a/bench/src/main/java/org/crocusgrade/bench/experiment/Experiment.java
+++ b/bench/src/main/java/org/crocusgrade/bench/experiment/Experiment.java
@@ -25,6 +25,8 @@
                 new SpreadExperiment(),
                 new ShapesExperiment(),
                 new TakeoverExperiment(),
-                new OverheadExperiment());
+                new OverheadExperiment(),
+                new ClaimExperiment(),
+                new StateExperiment());
     }
 }
