--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -53,7 +53,6 @@
 import org.crocusgrade.daemon.owner.WorkerProber;
 import org.crocusgrade.daemon.planner.MaintenanceRole;
 import org.crocusgrade.daemon.planner.PlannerRole;
-import org.crocusgrade.daemon.planner.PlannerStatus;
 import org.crocusgrade.daemon.platform.HttpHostPlatform;
 import org.crocusgrade.daemon.platform.HttpKeyValueStore;
 import org.crocusgrade.daemon.settings.Settings;
@@ -484,29 +483,17 @@
     }
 
     private JsonObject status() {
-        JsonObject services = new JsonObject();
-        for (ServiceFlow flow : flows.table().get().flows().values()) {
-            services.put(
-                    flow.config().service().value(),
-                    new JsonObject()
-                            .put("queued", flow.queued())
-                            .put("running", flow.running())
-                            .put("wantedSlots", flow.wantedSlots())
-                            .put("heldSlots", slots.held(flow.config().pool())));
-        }
-        JsonObject status = new JsonObject();
-        maintenance.last().ifPresent(s -> status.put("maintenance", PlannerStatus.maintenance(s)));
-        return status.put("planner", PlannerStatus.planner(planner))
-                .put("daemon", settings.daemon().value())
-                .put("boot", boot.value())
-                .put("zone", settings.zone().value())
-                .put("ready", isReady())
-                .put("configVersion", configuration.held().head().version().value())
-                .put("configPublish", configuration.held().head().publish().value())
-                .put("configSettled", configuration.isSettled())
-                .put("racksOwned", racks.owned())
-                .put("members", fleet.snapshot().members().size())
-                .put("problems", conditions.json())
-                .put("services", services);
+        return new StatusPage(
+                        settings,
+                        boot,
+                        flows,
+                        slots,
+                        configuration,
+                        fleet,
+                        racks,
+                        planner,
+                        maintenance,
+                        conditions)
+                .json(isReady());
     }
 }
