--- a/daemon/src/main/java/org/crocusgrade/daemon/configuration/ConfigExchange.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/configuration/ConfigExchange.java
@@ -34,7 +34,7 @@
  */
 public final class ConfigExchange {
     /** How many others each daemon hands a new configuration to. */
-    public static final int FAN_OUT = 8;
+    public static final int FAN_OUT = 4;
 
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
