--- a/cli/src/main/java/org/crocusgrade/cli/ConfigShowCommand.java
+++ b/cli/src/main/java/org/crocusgrade/cli/ConfigShowCommand.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
+import java.util.TreeSet;
 import org.crocusgrade.core.config.ConfigBundle;
 import org.crocusgrade.core.config.Publisher;
 import org.crocusgrade.core.config.ServiceConfig;
@@ -54,7 +55,7 @@
     private static String table(ConfigBundle bundle) {
         Table table =
                 new Table("SERVICE", "CLASS", "DEADLINE", "MIN", "USUAL", "MAX", "BUDGET", "SPARE");
-        for (ServiceId id : bundle.head().services().keySet()) {
+        for (ServiceId id : new TreeSet<>(bundle.fleet().services().keySet())) {
             ServiceConfig c = bundle.fleet().services().get(id);
             table.row(
                     id,
@@ -75,7 +76,7 @@
         node.put("version", bundle.head().version().value());
         node.put("publish", bundle.head().publish().value());
         ObjectNode services = node.putObject("services");
-        for (ServiceId id : bundle.head().services().keySet()) {
+        for (ServiceId id : new TreeSet<>(bundle.fleet().services().keySet())) {
             ServiceConfig c = bundle.fleet().services().get(id);
             services.putObject(id.value())
                     .put("class", c.serviceClass().word)
--- a/cli/src/main/java/org/crocusgrade/cli/PoolsCommand.java
+++ b/cli/src/main/java/org/crocusgrade/cli/PoolsCommand.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import java.util.List;
+import java.util.TreeSet;
 import org.crocusgrade.core.config.ServiceConfig;
 import org.crocusgrade.core.fleet.WorkerState;
 import org.crocusgrade.core.id.ServiceId;
@@ -27,7 +28,7 @@
                         "MAX",
                         "QUEUED",
                         "RUNNING");
-        for (ServiceId id : fleet.config().head().services().keySet()) {
+        for (ServiceId id : new TreeSet<>(fleet.config().fleet().services().keySet())) {
             ServiceConfig c = fleet.config().fleet().services().get(id);
             List<Fleet.Host> hosts = fleet.pool(c.pool());
             long serving =
--- a/core/src/main/java/org/crocusgrade/core/config/ConfigBundle.java
+++ b/core/src/main/java/org/crocusgrade/core/config/ConfigBundle.java
@@ -49,9 +49,16 @@
         Map<BlobId, ServiceConfig> parsed = new HashMap<>();
         Map<ServiceId, ServiceConfig> services = new HashMap<>();
         List<NamedService> named = new ArrayList<>();
+        FleetPolicy policy = FleetPolicy.DEFAULT;
         for (Map.Entry<ServiceId, BlobId> e : head.services().entrySet()) {
             BlobId blob = e.getValue();
             String text = earlier.files.getOrDefault(blob, added.get(blob));
+            if (e.getKey().equals(FleetPolicy.KEY)) {
+                requireUnaltered(blob, text, e.getKey());
+                policy = FleetPolicyReader.read(e.getKey().value(), text);
+                files.put(blob, text);
+                continue;
+            }
             ServiceConfig config = earlier.parsed.get(blob);
             if (config == null) {
                 config = parse(blob, text, e.getKey());
@@ -65,7 +72,7 @@
             named.add(new NamedService(e.getKey().value(), text, config));
         }
         FleetRules.check(named);
-        FleetConfig fleet = new FleetConfig(head.version(), head.publish(), services);
+        FleetConfig fleet = new FleetConfig(head.version(), head.publish(), services, policy);
         return new ConfigBundle(head, files, parsed, fleet);
     }
 
@@ -106,10 +113,15 @@
 
     private static ServiceConfig parse(BlobId blob, String text, ServiceId service)
             throws ConfigException {
+        requireUnaltered(blob, text, service);
+        return ServiceFileReader.read(service.value(), text);
+    }
+
+    private static void requireUnaltered(BlobId blob, String text, ServiceId service)
+            throws ConfigException {
         if (text == null || !Objects.equals(BlobId.of(text), blob)) {
             throw altered(service);
         }
-        return ServiceFileReader.read(service.value(), text);
     }
 
     private static ConfigException altered(ServiceId service) {
--- a/core/src/main/java/org/crocusgrade/core/config/ConfigChange.java
+++ b/core/src/main/java/org/crocusgrade/core/config/ConfigChange.java
@@ -39,11 +39,11 @@
         Map<ServiceId, String> names = new HashMap<>();
         for (Map.Entry<String, String> file : texts.entrySet()) {
             try {
-                ServiceConfig config = ServiceFileReader.read(file.getKey(), file.getValue());
-                put.put(config.service(), file.getValue());
-                String before = names.putIfAbsent(config.service(), file.getKey());
+                ServiceId described = check(file.getKey(), file.getValue());
+                put.put(described, file.getValue());
+                String before = names.putIfAbsent(described, file.getKey());
                 if (before != null) {
-                    problems.add(twice(file.getKey(), config.service(), before));
+                    problems.add(twice(file.getKey(), described, before));
                 }
             } catch (ConfigException e) {
                 problems.addAll(e.problems());
@@ -55,6 +55,14 @@
         return new ConfigChange(put, remove, names);
     }
 
+    private static ServiceId check(String file, String text) throws ConfigException {
+        if (FleetPolicyReader.isPolicy(text)) {
+            FleetPolicyReader.read(file, text);
+            return FleetPolicy.KEY;
+        }
+        return ServiceFileReader.read(file, text).service();
+    }
+
     /** Returns the services that the change puts or removes. */
     public Set<ServiceId> touched() {
         Set<ServiceId> all = new TreeSet<>(put.keySet());
@@ -85,12 +93,15 @@
     public List<ConfigProblem> check(ConfigBundle base) throws ConfigException {
         List<NamedService> named = new ArrayList<>();
         for (ServiceId service : base.head().services().keySet()) {
-            if (!touched().contains(service)) {
+            if (!touched().contains(service) && !service.equals(FleetPolicy.KEY)) {
                 ServiceConfig config = base.fleet().services().get(service);
                 named.add(new NamedService("published " + service, base.text(service), config));
             }
         }
         for (Map.Entry<ServiceId, String> file : new TreeMap<>(put).entrySet()) {
+            if (file.getKey().equals(FleetPolicy.KEY)) {
+                continue;
+            }
             String name = names.getOrDefault(file.getKey(), file.getKey().value());
             ServiceConfig config = ServiceFileReader.read(name, file.getValue());
             named.add(new NamedService(name, file.getValue(), config));
--- a/core/src/main/java/org/crocusgrade/core/config/FleetConfig.java
+++ b/core/src/main/java/org/crocusgrade/core/config/FleetConfig.java
@@ -13,9 +13,13 @@
  * @param version its version; a daemon only ever takes a higher one
  * @param publish the publish that made it
  * @param services the services by id
+ * @param policy what is published for the whole fleet
  */
 public record FleetConfig(
-        ConfigVersion version, PublishId publish, Map<ServiceId, ServiceConfig> services) {
+        ConfigVersion version,
+        PublishId publish,
+        Map<ServiceId, ServiceConfig> services,
+        FleetPolicy policy) {
     /** The configuration before the first publish. */
     public static final FleetConfig EMPTY =
             new FleetConfig(ConfigVersion.NONE, new PublishId("none"), Map.of());
@@ -24,9 +28,16 @@
     public FleetConfig {
         Objects.requireNonNull(version);
         Objects.requireNonNull(publish);
+        Objects.requireNonNull(policy);
         services = Map.copyOf(services);
     }
 
+    /** Makes a configuration without a policy of its own. */
+    public FleetConfig(
+            ConfigVersion version, PublishId publish, Map<ServiceId, ServiceConfig> services) {
+        this(version, publish, services, FleetPolicy.DEFAULT);
+    }
+
     /** Returns a service's configuration, if there is one. */
     public Optional<ServiceConfig> service(ServiceId id) {
         return Optional.ofNullable(services.get(id));
--- a/core/src/main/java/org/crocusgrade/core/config/ServiceRules.java
+++ b/core/src/main/java/org/crocusgrade/core/config/ServiceRules.java
@@ -12,11 +12,23 @@
 
     /** Reports every rule that the values break. */
     static void check(ServiceConfig config, IniDocument doc, Problems problems) {
+        checkName(config, doc, problems);
         checkTimes(config, doc, problems);
         checkCapacity(config, doc, problems);
         checkBudget(config, doc, problems);
     }
 
+    private static void checkName(ServiceConfig config, IniDocument doc, Problems problems) {
+        if (config.service().equals(FleetPolicy.KEY)) {
+            problems.add(
+                    ConfigMessage.CONTRADICTION,
+                    doc.line("service", "name"),
+                    "[service] name",
+                    "any other name",
+                    "this name is kept for the fleet's own file");
+        }
+    }
+
     private static void checkTimes(ServiceConfig config, IniDocument doc, Problems problems) {
         if (config.runTime().compareTo(config.deadline()) > 0) {
             problems.add(
--- a/core/src/main/java/org/crocusgrade/core/config/ValueForms.java
+++ b/core/src/main/java/org/crocusgrade/core/config/ValueForms.java
@@ -14,6 +14,7 @@
 
 /** The forms of values in service files and settings. */
 public final class ValueForms {
+    private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,6})?");
     private static final Pattern NUMBER = Pattern.compile("[0-9]{1,15}");
     private static final Pattern QUANTITY = Pattern.compile("([0-9]{1,12})([A-Za-z]{0,3})");
     private static final Pattern HEX = Pattern.compile("(?:[0-9A-Fa-f]{2})+");
@@ -86,6 +87,22 @@
                 });
     }
 
+    /** A number with up to 6 decimals, within bounds. */
+    public static ValueForm<Double> decimal(double min, double max) {
+        return new Form<>(
+                "a number from %.0f to %.0f, such as 0.25".formatted(min, max),
+                text -> {
+                    if (!DECIMAL.matcher(text).matches()) {
+                        throw new ValueException(ConfigMessage.BAD_VALUE);
+                    }
+                    double value = Double.parseDouble(text);
+                    if (value < min || value > max) {
+                        throw new ValueException(ConfigMessage.OUT_OF_RANGE);
+                    }
+                    return value;
+                });
+    }
+
     /** A duration with its unit, within bounds. */
     public static ValueForm<Duration> duration(Duration min, Duration max) {
         String accepted =
--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/DemandBoard.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/DemandBoard.java
@@ -44,6 +44,7 @@
         if (all.isEmpty()) {
             return Optional.empty();
         }
+        Instant at = oldest(now);
         double offered = 0;
         double queued = 0;
         double running = 0;
@@ -57,7 +58,7 @@
             }
         }
         double coverage = Math.min(1, all.size() / (double) Math.max(1, members));
-        return Optional.of(new DemandDigest(now, offered, queued, running, coverage));
+        return Optional.of(new DemandDigest(at, offered, queued, running, coverage));
     }
 
     /** Returns what runs on each worker, by the daemons heard lately. */
@@ -77,6 +78,17 @@
                 a.worker(), a.running() + b.running(), longer ? a.drainTime() : b.drainTime());
     }
 
+    private Instant oldest(Instant now) {
+        Instant oldest = now;
+        for (Heard each : reports.values()) {
+            boolean counts = Duration.between(each.at, now).compareTo(fresh) <= 0;
+            if (counts && each.at.isBefore(oldest)) {
+                oldest = each.at;
+            }
+        }
+        return oldest;
+    }
+
     private List<DemandReport> recent(Instant now) {
         List<DemandReport> recent = new ArrayList<>();
         for (Heard each : reports.values()) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -7,23 +7,17 @@
 import io.vertx.ext.web.Router;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.crocusgrade.core.config.ConfigBundle;
+import org.crocusgrade.core.config.FleetPolicy;
 import org.crocusgrade.core.fleet.SlotPool;
 import org.crocusgrade.core.fleet.SlotTable;
 import org.crocusgrade.core.fleet.SlotTimes;
-import org.crocusgrade.core.fleet.plan.DemandReport;
-import org.crocusgrade.core.fleet.plan.DemandReport.WorkerRuns;
 import org.crocusgrade.core.fleet.plan.PlanSettings;
-import org.crocusgrade.core.fleet.plan.PlanWeights;
 import org.crocusgrade.core.id.BootId;
 import org.crocusgrade.core.id.DaemonId;
-import org.crocusgrade.core.id.WorkerId;
-import org.crocusgrade.core.maintenance.RolloutPolicy;
 import org.crocusgrade.core.member.DaemonRun;
 import org.crocusgrade.core.member.MemberRecord;
 import org.crocusgrade.core.port.Clock;
@@ -51,8 +45,10 @@
 import org.crocusgrade.daemon.owner.RackKeeper;
 import org.crocusgrade.daemon.owner.SlotExchange;
 import org.crocusgrade.daemon.owner.WorkerProber;
+import org.crocusgrade.daemon.planner.DemandReporter;
 import org.crocusgrade.daemon.planner.MaintenanceRole;
 import org.crocusgrade.daemon.planner.PlannerRole;
+import org.crocusgrade.daemon.planner.Policies;
 import org.crocusgrade.daemon.platform.HttpHostPlatform;
 import org.crocusgrade.daemon.platform.HttpKeyValueStore;
 import org.crocusgrade.daemon.settings.Settings;
@@ -73,7 +69,6 @@
     private static final Duration DRAIN_PERIOD = Duration.ofMillis(20);
     private static final int PEER_THREADS = 1;
     private static final Duration MAINTENANCE_PERIOD = Duration.ofSeconds(2);
-    private static final PlanWeights PLAN_WEIGHTS = new PlanWeights(1, 0.05);
 
     private final Settings settings;
     private final Clock clock = Clock.system();
@@ -248,7 +243,7 @@
                         control,
                         planning,
                         () -> configuration.held().fleet(),
-                        () -> PLAN_WEIGHTS,
+                        () -> Policies.weights(policy()),
                         peers::send);
         maintenance =
                 new MaintenanceRole(
@@ -259,7 +254,7 @@
                         clock,
                         control,
                         () -> configuration.held().fleet(),
-                        () -> RolloutPolicy.DEFAULT,
+                        () -> Policies.rollOut(policy()),
                         planner);
     }
 
@@ -428,16 +423,11 @@
     }
 
     private void tickPlanner() {
-        List<WorkerRuns> runs = new ArrayList<>();
-        slots.running()
-                .forEach(
-                        (worker, running) ->
-                                runs.add(new WorkerRuns(worker, running, drainTime(worker))));
-        planner.tick(new DemandReport(settings.daemon(), flows.demand(), runs));
+        planner.tick(DemandReporter.report(settings.daemon(), slots, flows, fleet.snapshot()));
     }
 
-    private Duration drainTime(WorkerId worker) {
-        return fleet.snapshot().poolOf(worker).map(flows::meanRunTime).orElse(Duration.ZERO);
+    private FleetPolicy policy() {
+        return configuration.held().fleet().policy();
     }
 
     private boolean isActive() {
