--- a/daemon/src/test/java/org/crocusgrade/daemon/OwnershipTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/OwnershipTest.java
@@ -42,6 +42,15 @@
     /** More requests at once than one rack has slots. */
     private static final int BURST = 40;
 
+    /** All services: the planner may move the rack's workers to any of their pools meanwhile. */
+    private static final List<String> SERVICES =
+            List.of(
+                    "lot-valuation",
+                    "fleece-classing",
+                    "clip-accounts",
+                    "mill-sales",
+                    "broker-desk");
+
     private final HttpClient client = HttpClient.newHttpClient();
     private int sent;
 
@@ -107,12 +116,15 @@
                     for (int i = 0; i < BURST; i++) {
                         String nonce = next();
                         nonces.add(nonce);
-                        HttpRequest request = request(fleet.daemons.get(0), nonce, "100ms");
+                        String service = SERVICES.get(i % SERVICES.size());
+                        HttpRequest request =
+                                request(fleet.daemons.get(0), service, nonce, "100ms");
                         answers.add(client.sendAsync(request, BodyHandlers.ofString()));
                     }
                     CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new)).get();
                     return ran(fleet, rack, nonces);
                 });
+        await("service of the pool", () -> isCompleted(fleet.daemons.get(0), next()));
     }
 
     private static boolean ran(TestFleet fleet, RackRecord rack, List<String> nonces) {
@@ -191,15 +203,16 @@
 
     private boolean isCompleted(Daemon daemon, String nonce) throws Exception {
         HttpResponse<String> answer =
-                client.send(request(daemon, nonce, "5ms"), BodyHandlers.ofString());
+                client.send(request(daemon, POOL.value(), nonce, "5ms"), BodyHandlers.ofString());
         return answer.headers().firstValue("Crocusgrade-Outcome").equals(Optional.of("completed"));
     }
 
-    private static HttpRequest request(Daemon daemon, String nonce, String work) {
+    private static HttpRequest request(Daemon daemon, String service, String nonce, String work) {
         InetSocketAddress target = daemon.callers();
-        URI uri = URI.create("http://" + Addresses.format(target) + "/s/lot-valuation/price?lot=7");
+        URI uri =
+                URI.create("http://" + Addresses.format(target) + "/s/" + service + "/price?lot=7");
         return HttpRequest.newBuilder(uri)
-                .timeout(Duration.ofSeconds(10))
+                .timeout(WITHIN)
                 .header("Crocusgrade-Standin-Work", work)
                 .header("Crocusgrade-Standin-Nonce", nonce)
                 .build();
