--- a/cli/src/main/java/org/crocusgrade/cli/Fleet.java
+++ b/cli/src/main/java/org/crocusgrade/cli/Fleet.java
@@ -80,13 +80,13 @@
         return sum;
     }
 
-    /** Returns the part of a status page that only one daemon has, such as the planner's. */
+    /** Returns a part of the status pages from the daemon that decided most of it. */
     Optional<JsonNode> part(String name) {
         return daemons.stream()
                 .flatMap(answer -> answer.page().stream())
                 .map(page -> page.path(name))
                 .filter(JsonNode::isObject)
-                .findFirst();
+                .max(Comparator.comparingInt(part -> part.path("moves").size()));
     }
 
     private static List<RackRecord> decode(List<StoreEntry> entries) {
