Ask for the slot's lease again when the connection is there

Cause: in fault trials workers got requests under a pool that they had left: a daemon checked a slot's lease, then waited for a connection, was halted meanwhile, and wrote after the lease had ended and the worker had moved. Ruled out: a longer grace at the owner, since a halt has no bound. Conclusion: what is left is the time between the check and the write itself.

--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -311,19 +311,12 @@
                 .check(Condition.NO_CONFIG, () -> flows.table().get().flows().isEmpty())
                 .check(Condition.NOT_SETTLED, () -> !configuration.isSettled())
                 .check(Condition.STOPPING, () -> stopping)
-                .check(Condition.NO_SLOTS, this::waitsWithoutSlots);
+                .check(
+                        Condition.NO_SLOTS,
+                        () -> ServicesPage.waitsWithoutSlots(flows.table().get(), slots));
         ControlThread.every(control, CONDITION_PERIOD, conditions::update);
     }
 
-    private boolean waitsWithoutSlots() {
-        for (ServiceFlow flow : flows.table().get().flows().values()) {
-            if (flow.queued() > 0 && slots.held(flow.config().pool()) == 0) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     /** Stops gracefully: goes unready, finishes what it has taken, hands its leases back. */
     public void stop() {
         stopping = true;
--- a/daemon/src/main/java/org/crocusgrade/daemon/StatusPage.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/StatusPage.java
@@ -6,8 +6,8 @@
 import org.crocusgrade.daemon.configuration.ConfigWatcher;
 import org.crocusgrade.daemon.control.FleetWatcher;
 import org.crocusgrade.daemon.edge.FlowManager;
-import org.crocusgrade.daemon.edge.ServiceFlow;
 import org.crocusgrade.daemon.ops.ConditionLog;
+import org.crocusgrade.daemon.ops.ServicesPage;
 import org.crocusgrade.daemon.owner.RackKeeper;
 import org.crocusgrade.daemon.planner.MaintenanceRole;
 import org.crocusgrade.daemon.planner.PlannerRole;
@@ -40,25 +40,11 @@
                         .put("racksOwned", racks.owned())
                         .put("members", fleet.snapshot().members().size())
                         .put("problems", conditions.json())
-                        .put("services", services());
+                        .put("services", ServicesPage.of(flows.table().get(), slots));
         if (planner.holder().filter(settings.daemon()::equals).isPresent()) {
             page.put("planner", PlannerStatus.planner(planner));
         }
         maintenance.last().ifPresent(s -> page.put("maintenance", PlannerStatus.maintenance(s)));
         return page;
     }
-
-    private JsonObject services() {
-        JsonObject services = new JsonObject();
-        for (ServiceFlow flow : flows.table().get().flows().values()) {
-            JsonObject service =
-                    new JsonObject()
-                            .put("queued", flow.queued())
-                            .put("running", flow.running())
-                            .put("wantedSlots", flow.wantedSlots())
-                            .put("heldSlots", slots.held(flow.config().pool()));
-            services.put(flow.config().service().value(), service);
-        }
-        return services;
-    }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/edge/ServiceFlow.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/edge/ServiceFlow.java
@@ -173,6 +173,7 @@
 
     private void send(Attempt attempt, Exchange exchange, InetSocketAddress worker) {
         long left = attempt.request().deadlineNanos() - parts.clock().nanoTime();
+        Slot slot = exchange.slot;
         RunCall call =
                 new RunCall(
                         attempt.id(),
@@ -183,8 +184,8 @@
                         exchange.path,
                         exchange.headers,
                         exchange.body,
-                        Duration.ofNanos(Math.max(0, left)).plus(grace()));
-        Slot slot = exchange.slot;
+                        Duration.ofNanos(Math.max(0, left)).plus(grace()),
+                        () -> slot.isValid(parts.clock().nanoTime()));
         parts.workers()
                 .run(call)
                 .onSuccess(result -> event(now -> finished(attempt, slot, result, now)));
--- a/daemon/src/main/java/org/crocusgrade/daemon/upstream/AttemptCall.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/upstream/AttemptCall.java
@@ -57,6 +57,11 @@
             connected.reset();
             return;
         }
+        if (!call.mayStart().getAsBoolean()) {
+            end(RunResult.without(RunEnd.LEASE_LOST));
+            connected.reset();
+            return;
+        }
         connected.exceptionHandler(e -> fail(RunEnd.CONNECTION_LOST));
         for (Map.Entry<String, String> header : call.headers()) {
             if (WorkerClient.isEndToEnd(header.getKey())) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/upstream/RunCall.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/upstream/RunCall.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpMethod;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.function.BooleanSupplier;
 import org.crocusgrade.core.id.PoolId;
 import org.crocusgrade.core.id.RequestId;
 import org.crocusgrade.core.id.ServiceId;
@@ -31,4 +32,5 @@
         String path,
         MultiMap headers,
         Buffer body,
-        Duration timeout) {}
+        Duration timeout,
+        BooleanSupplier mayStart) {}
--- a/daemon/src/test/java/org/crocusgrade/daemon/upstream/WorkerClientTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/upstream/WorkerClientTest.java
@@ -63,7 +63,8 @@
                         "/" + path,
                         MultiMap.caseInsensitiveMultiMap(),
                         Buffer.buffer("a body"),
-                        timeout);
+                        timeout,
+                        () -> true);
         return client.run(call)
                 .toCompletionStage()
                 .toCompletableFuture()
@@ -161,12 +162,37 @@
                             "/silent",
                             MultiMap.caseInsensitiveMultiMap(),
                             Buffer.buffer(),
-                            LONG));
+                            LONG,
+                            () -> true));
         }
         assertThat(end("good", SHORT), is(RunEnd.NOT_SENT));
         assertThat(worker.requests(), not(hasItem("POST /run/good")));
     }
 
+    @Test
+    void anAttemptWhoseLeaseEndedBeforeItsConnectionCameIsNotSent() throws Exception {
+        RunCall late =
+                new RunCall(
+                        new RequestId("late"),
+                        worker.address(),
+                        new ServiceId("service"),
+                        new PoolId("pool"),
+                        HttpMethod.POST,
+                        "/good",
+                        MultiMap.caseInsensitiveMultiMap(),
+                        Buffer.buffer("a body"),
+                        LONG,
+                        () -> false);
+        RunResult result =
+                client.run(late)
+                        .toCompletionStage()
+                        .toCompletableFuture()
+                        .get(LONG.toMillis(), TimeUnit.MILLISECONDS);
+        assertThat(result.end(), is(RunEnd.LEASE_LOST));
+        assertThat(end("good", LONG), is(RunEnd.ANSWERED));
+        assertThat(worker.requests().size(), is(1));
+    }
+
     @Test
     void aCancelReachesAWorkerWhoseConnectionsAreAllBusy() throws Exception {
         waitingForAConnectionInVainMeansNotSent();
