--- a/core/src/main/java/org/crocusgrade/core/dispatch/RunTimes.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/RunTimes.java
@@ -25,11 +25,24 @@
     private static final long REFRESH = 64;
     private static final double LN_2 = Math.log(2);
 
+    /** The middle of each bucket, in nanoseconds. */
+    private static final double[] VALUES = new double[BUCKETS];
+
+    /** The upper end of each bucket, in nanoseconds. */
+    private static final double[] UPPER = new double[BUCKETS];
+
+    static {
+        for (int i = 0; i < BUCKETS; i++) {
+            VALUES[i] = value(i);
+            UPPER[i] = value(i + 0.5);
+        }
+    }
+
     private final double[] weights = new double[BUCKETS];
     private final double declaredNanos;
     private double total;
     private long seen;
-    private boolean stale = true;
+    private long meanSeen;
     private double meanNanos;
     private double enoughNanos;
     private double enoughHorizonNanos;
@@ -45,7 +58,6 @@
         weights[bucket(nanos)] += 1;
         total += 1;
         seen++;
-        stale = true;
         if (total < WINDOW) {
             return;
         }
@@ -65,9 +77,9 @@
         if (!known()) {
             return declaredNanos;
         }
-        if (stale) {
+        if (seen - meanSeen >= Math.min(1 + seen / 16, REFRESH)) {
             meanNanos = computeMean();
-            stale = false;
+            meanSeen = seen;
         }
         return meanNanos;
     }
@@ -112,20 +124,20 @@
         double work = 0;
         double best = 0;
         int last = 0;
-        for (int i = 0; i < BUCKETS && (last == 0 || value(i + 0.5) <= horizonNanos); i++) {
+        for (int i = 0; i < BUCKETS && (last == 0 || UPPER[i] <= horizonNanos); i++) {
             done += weights[i];
-            work += weights[i] * value(i);
-            double time = cut ? work + (total - done) * value(i + 0.5) : 1;
+            work += weights[i] * VALUES[i];
+            double time = cut ? work + (total - done) * UPPER[i] : 1;
             yields[i] = done / time;
             best = Math.max(best, yields[i]);
             last = done > 0 ? i : 0;
         }
         for (int i = 0; i <= last; i++) {
             if (yields[i] >= NEARLY * best && yields[i] > 0) {
-                return value(i + 0.5);
+                return UPPER[i];
             }
         }
-        return value(last + 0.5);
+        return UPPER[last];
     }
 
     private double quantile(double share) {
@@ -144,7 +156,7 @@
         double sum = 0;
         double count = 0;
         for (int i = 0; i < BUCKETS; i++) {
-            double value = value(i);
+            double value = VALUES[i];
             if (value <= cap) {
                 sum += weights[i] * value;
                 count += weights[i];
--- a/core/src/main/java/org/crocusgrade/core/dispatch/ServiceQueue.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/ServiceQueue.java
@@ -41,8 +41,6 @@
     private static final long LEAVING_PAUSE_NANOS = 3_000_000_000L;
     private static final double NANOS_PER_SECOND = 1e9;
     private static final double MIN_OFFERED_SLOTS = 0.01;
-    private static final double LEAST_RETRY_AFTER_NANOS = 1e7;
-    private static final double MOST_RETRY_AFTER_NANOS = 3e10;
 
     private final DispatchActions actions;
     private final UniformRandomProvider random;
@@ -51,7 +49,7 @@
             new TreeSet<>(PendingRequest::byDeadline);
     private final TreeSet<PendingRequest> delayed = new TreeSet<>(PendingRequest::byWake);
     private final RetryBudget budget = new RetryBudget();
-    private final RateMeter refusals = new RateMeter();
+    private final RetryAfter retryAfter;
     private final List<PendingRequest> givenUp = new ArrayList<>();
     private final GrantedSlots slots;
     private final Lanes lanes;
@@ -78,6 +76,7 @@
         this.random = Objects.requireNonNull(random);
         slots = new GrantedSlots(settings.zone());
         lanes = new Lanes(settings);
+        retryAfter = new RetryAfter(random);
     }
 
     /** Takes changed settings; what was learned and what was taken stays. */
@@ -393,21 +392,13 @@
             actions.answer(request, refusal.reason, Optional.empty());
             return;
         }
-        refusals.mark(now);
+        retryAfter.refused(now);
         Duration after = retryAfter(refusal.lateNanos, now);
         actions.answer(request, refusal.reason, Optional.of(after));
     }
 
-    /**
-     * Returns when the caller of a refused request should ask again: after the time by which it was
-     * late, and spread over the time that the slots need for all that were refused lately, so that
-     * they do not all come back at once.
-     */
     private Duration retryAfter(double lateNanos, long now) {
-        double interval = lanes.slotIntervalNanos(slots.granted());
-        double spread = refusals.count(now) * interval * random.nextDouble();
-        double nanos = Math.max(LEAST_RETRY_AFTER_NANOS, lateNanos + spread);
-        return Duration.ofNanos((long) Math.min(MOST_RETRY_AFTER_NANOS, nanos));
+        return retryAfter.after(lateNanos, lanes.slotIntervalNanos(slots.granted()), now);
     }
 
     /**
