--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -23,10 +23,12 @@
 import org.crocusgrade.core.id.BootId;
 import org.crocusgrade.core.id.DaemonId;
 import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.maintenance.RolloutPolicy;
 import org.crocusgrade.core.member.DaemonRun;
 import org.crocusgrade.core.member.MemberRecord;
 import org.crocusgrade.core.port.Clock;
 import org.crocusgrade.daemon.claim.ClaimRouter;
+import org.crocusgrade.daemon.concurrent.AdaptiveTimer;
 import org.crocusgrade.daemon.concurrent.ControlThread;
 import org.crocusgrade.daemon.configuration.ConfigExchange;
 import org.crocusgrade.daemon.configuration.ConfigWatcher;
@@ -43,11 +45,13 @@
 import org.crocusgrade.daemon.metrics.DaemonMetrics;
 import org.crocusgrade.daemon.ops.Condition;
 import org.crocusgrade.daemon.ops.ConditionLog;
+import org.crocusgrade.daemon.ops.FlowGauges;
 import org.crocusgrade.daemon.ops.OperatorApi;
 import org.crocusgrade.daemon.owner.Ownership;
 import org.crocusgrade.daemon.owner.RackKeeper;
 import org.crocusgrade.daemon.owner.SlotExchange;
 import org.crocusgrade.daemon.owner.WorkerProber;
+import org.crocusgrade.daemon.planner.MaintenanceRole;
 import org.crocusgrade.daemon.planner.PlannerRole;
 import org.crocusgrade.daemon.platform.HttpHostPlatform;
 import org.crocusgrade.daemon.platform.HttpKeyValueStore;
@@ -61,11 +65,14 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration CONDITION_PERIOD = Duration.ofSeconds(1);
     private static final Duration CONTROL_PERIOD = Duration.ofMillis(50);
+    private static final Duration IDLE_CONTROL_PERIOD = Duration.ofMillis(200);
     private static final Duration FLOW_PERIOD = Duration.ofMillis(10);
+    private static final Duration IDLE_FLOW_PERIOD = Duration.ofMillis(200);
     private static final Duration STORE_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration HAND_OVER_TIMEOUT = Duration.ofSeconds(3);
     private static final Duration DRAIN_PERIOD = Duration.ofMillis(20);
     private static final int PEER_THREADS = 1;
+    private static final Duration MAINTENANCE_PERIOD = Duration.ofSeconds(2);
     private static final PlanWeights PLAN_WEIGHTS = new PlanWeights(1, 0.05);
 
     private final Settings settings;
@@ -91,6 +98,8 @@
     private final ClaimRouter claims;
     private final KeyedRequests keyed;
     private final InFlight inFlight = new InFlight();
+    private final AdaptiveTimer flowTimer;
+    private final AdaptiveTimer slotTimer;
     private FleetWatcher fleet;
     private ConfigExchange exchangeConfig;
     private volatile ConfigWatcher configuration;
@@ -99,6 +108,7 @@
     private WorkerProber prober;
     private RackKeeper racks;
     private PlannerRole planner;
+    private MaintenanceRole maintenance;
     private InetSocketAddress peerAddress;
     private HttpPort callers;
     private HttpPort operators;
@@ -135,6 +145,12 @@
                         () -> fleet.snapshot().members().keySet(),
                         peers::send);
         HttpRemoteRuns remote = new HttpRemoteRuns(vertx, clock, () -> fleet.snapshot().members());
+        flowTimer =
+                new AdaptiveTimer(
+                        control, FLOW_PERIOD, IDLE_FLOW_PERIOD, flows::isBusy, flows::tick);
+        slotTimer =
+                new AdaptiveTimer(
+                        control, CONTROL_PERIOD, IDLE_CONTROL_PERIOD, this::isActive, this::tick);
         keyed = new KeyedRequests(settings.daemon(), boot, clock, claims, remote);
     }
 
@@ -234,6 +250,17 @@
                         () -> configuration.held().fleet(),
                         () -> PLAN_WEIGHTS,
                         peers::send);
+        maintenance =
+                new MaintenanceRole(
+                        settings.region(),
+                        store,
+                        hosts,
+                        fleet,
+                        clock,
+                        control,
+                        () -> configuration.held().fleet(),
+                        () -> RolloutPolicy.DEFAULT,
+                        planner);
     }
 
     private void makeConfiguration(MemberRecord record) {
@@ -266,9 +293,10 @@
         planner.start();
         startConditions();
         openInbox();
-        ControlThread.every(control, CONTROL_PERIOD, this::tick);
-        ControlThread.every(control, FLOW_PERIOD, flows::tick);
+        slotTimer.start();
+        flowTimer.start();
         ControlThread.every(control, PlanSettings.DEFAULT.tick(), this::tickPlanner);
+        ControlThread.every(control, MAINTENANCE_PERIOD, maintenance::tick);
     }
 
     private void openInbox() {
@@ -281,6 +309,8 @@
     }
 
     private void startConditions() {
+        FlowGauges.register(
+                metrics.registry(), flows.table()::get, flow -> slots.held(flow.config().pool()));
         conditions
                 .check(Condition.NO_LEASE, () -> session.valid().isEmpty())
                 .check(Condition.NO_CONFIG, () -> flows.table().get().flows().isEmpty())
@@ -410,11 +440,17 @@
         return fleet.snapshot().poolOf(worker).map(flows::meanRunTime).orElse(Duration.ZERO);
     }
 
+    private boolean isActive() {
+        return flows.isBusy() || racks.isChanging();
+    }
+
     private void demandChanged() {
         if (demandChanged.compareAndSet(false, true)) {
             control.execute(
                     () -> {
                         demandChanged.set(false);
+                        flowTimer.wake();
+                        slotTimer.wake();
                         ControlThread.guard(() -> exchange.tick(flows.wanted()));
                     });
         }
@@ -430,7 +466,9 @@
                 peers.setAddress(member.daemon(), member.peers());
             }
         }
+        maintenance.observe(snapshot);
         exchange.fleetChanged(snapshot);
+        slotTimer.wake();
         configuration.membersChanged(snapshot);
     }
 
@@ -445,27 +483,17 @@
     }
 
     private JsonObject status() {
-        JsonObject services = new JsonObject();
-        for (ServiceFlow flow : flows.table().get().flows().values()) {
-            services.put(
-                    flow.config().service().value(),
-                    new JsonObject()
-                            .put("queued", flow.queued())
-                            .put("running", flow.running())
-                            .put("wantedSlots", flow.wantedSlots())
-                            .put("heldSlots", slots.held(flow.config().pool())));
-        }
-        return new JsonObject()
-                .put("daemon", settings.daemon().value())
-                .put("boot", boot.value())
-                .put("zone", settings.zone().value())
-                .put("ready", isReady())
-                .put("configVersion", configuration.held().head().version().value())
-                .put("configPublish", configuration.held().head().publish().value())
-                .put("configSettled", configuration.isSettled())
-                .put("racksOwned", racks.owned())
-                .put("members", fleet.snapshot().members().size())
-                .put("problems", conditions.json())
-                .put("services", services);
+        return new StatusPage(
+                        settings,
+                        boot,
+                        flows,
+                        slots,
+                        configuration,
+                        fleet,
+                        racks,
+                        planner,
+                        maintenance,
+                        conditions)
+                .json(isReady());
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/StatusPage.java
@@ -0,0 +1,64 @@
+package org.crocusgrade.daemon;
+
+import io.vertx.core.json.JsonObject;
+import org.crocusgrade.core.fleet.SlotPool;
+import org.crocusgrade.core.id.BootId;
+import org.crocusgrade.daemon.configuration.ConfigWatcher;
+import org.crocusgrade.daemon.control.FleetWatcher;
+import org.crocusgrade.daemon.edge.FlowManager;
+import org.crocusgrade.daemon.edge.ServiceFlow;
+import org.crocusgrade.daemon.ops.ConditionLog;
+import org.crocusgrade.daemon.owner.RackKeeper;
+import org.crocusgrade.daemon.planner.MaintenanceRole;
+import org.crocusgrade.daemon.planner.PlannerRole;
+import org.crocusgrade.daemon.planner.PlannerStatus;
+import org.crocusgrade.daemon.settings.Settings;
+
+/** What {@code /status} shows of a daemon's parts. */
+record StatusPage(
+        Settings settings,
+        BootId boot,
+        FlowManager flows,
+        SlotPool slots,
+        ConfigWatcher configuration,
+        FleetWatcher fleet,
+        RackKeeper racks,
+        PlannerRole planner,
+        MaintenanceRole maintenance,
+        ConditionLog conditions) {
+    /** Returns the page as it is now. */
+    JsonObject json(boolean ready) {
+        JsonObject page =
+                new JsonObject()
+                        .put("daemon", settings.daemon().value())
+                        .put("boot", boot.value())
+                        .put("zone", settings.zone().value())
+                        .put("ready", ready)
+                        .put("configVersion", configuration.held().head().version().value())
+                        .put("configPublish", configuration.held().head().publish().value())
+                        .put("configSettled", configuration.isSettled())
+                        .put("racksOwned", racks.owned())
+                        .put("members", fleet.snapshot().members().size())
+                        .put("problems", conditions.json())
+                        .put("services", services());
+        if (planner.holder().filter(settings.daemon()::equals).isPresent()) {
+            page.put("planner", PlannerStatus.planner(planner));
+        }
+        maintenance.last().ifPresent(s -> page.put("maintenance", PlannerStatus.maintenance(s)));
+        return page;
+    }
+
+    private JsonObject services() {
+        JsonObject services = new JsonObject();
+        for (ServiceFlow flow : flows.table().get().flows().values()) {
+            JsonObject service =
+                    new JsonObject()
+                            .put("queued", flow.queued())
+                            .put("running", flow.running())
+                            .put("wantedSlots", flow.wantedSlots())
+                            .put("heldSlots", slots.held(flow.config().pool()));
+            services.put(flow.config().service().value(), service);
+        }
+        return services;
+    }
+}
