--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -41,6 +41,7 @@
 import org.crocusgrade.daemon.ops.ConditionLog;
 import org.crocusgrade.daemon.ops.FlowGauges;
 import org.crocusgrade.daemon.ops.OperatorApi;
+import org.crocusgrade.daemon.ops.ServicesPage;
 import org.crocusgrade.daemon.owner.Ownership;
 import org.crocusgrade.daemon.owner.RackKeeper;
 import org.crocusgrade.daemon.owner.SlotExchange;
