--- a/bench/src/main/java/org/crocusgrade/bench/dispatch/Dispatcher.java
+++ b/bench/src/main/java/org/crocusgrade/bench/dispatch/Dispatcher.java
@@ -4,7 +4,7 @@
 import org.crocusgrade.core.dispatch.DispatchActions;
 import org.crocusgrade.core.dispatch.Request;
 import org.crocusgrade.core.dispatch.RunEnd;
-import org.crocusgrade.core.dispatch.SlotGrant;
+import org.crocusgrade.core.dispatch.WorkerGrant;
 
 /** What the driver needs of a dispatcher, so that two can be compared on one schedule. */
 public interface Dispatcher {
@@ -12,7 +12,7 @@
     void offer(Request request, long now);
 
     /** Takes slots. */
-    void granted(SlotGrant grant, long now);
+    void granted(WorkerGrant grant, long now);
 
     /** Takes the end of an attempt. */
     void finished(Attempt attempt, RunEnd end, long now);
--- a/bench/src/main/java/org/crocusgrade/bench/dispatch/NaiveDispatcher.java
+++ b/bench/src/main/java/org/crocusgrade/bench/dispatch/NaiveDispatcher.java
@@ -12,7 +12,7 @@
 import org.crocusgrade.core.dispatch.Reason;
 import org.crocusgrade.core.dispatch.Request;
 import org.crocusgrade.core.dispatch.RunEnd;
-import org.crocusgrade.core.dispatch.SlotGrant;
+import org.crocusgrade.core.dispatch.WorkerGrant;
 import org.crocusgrade.core.id.WorkerId;
 
 /**
@@ -46,7 +46,7 @@
     }
 
     @Override
-    public void granted(SlotGrant grant, long now) {
+    public void granted(WorkerGrant grant, long now) {
         free.put(grant.worker(), grant.slots());
         workers.add(grant.worker());
         startAll(now);
--- a/bench/src/main/java/org/crocusgrade/bench/dispatch/QueueDispatcher.java
+++ b/bench/src/main/java/org/crocusgrade/bench/dispatch/QueueDispatcher.java
@@ -11,7 +11,7 @@
 import org.crocusgrade.core.dispatch.Request;
 import org.crocusgrade.core.dispatch.RunEnd;
 import org.crocusgrade.core.dispatch.ServiceQueue;
-import org.crocusgrade.core.dispatch.SlotGrant;
+import org.crocusgrade.core.dispatch.WorkerGrant;
 
 /** The daemon's own dispatcher. */
 public final class QueueDispatcher implements Dispatcher {
@@ -41,7 +41,7 @@
     }
 
     @Override
-    public void granted(SlotGrant grant, long now) {
+    public void granted(WorkerGrant grant, long now) {
         queue.granted(grant, now);
     }
 
--- a/bench/src/main/java/org/crocusgrade/bench/dispatch/ScheduleDriver.java
+++ b/bench/src/main/java/org/crocusgrade/bench/dispatch/ScheduleDriver.java
@@ -16,7 +16,7 @@
 import org.crocusgrade.core.dispatch.Reason;
 import org.crocusgrade.core.dispatch.Request;
 import org.crocusgrade.core.dispatch.RunEnd;
-import org.crocusgrade.core.dispatch.SlotGrant;
+import org.crocusgrade.core.dispatch.WorkerGrant;
 import org.crocusgrade.core.id.AvailabilityZone;
 import org.crocusgrade.core.id.RequestId;
 import org.crocusgrade.core.id.WorkerId;
@@ -115,7 +115,7 @@
     private Result run() {
         for (int i = 0; i < fleet.workers(); i++) {
             AvailabilityZone zone = new AvailabilityZone("az" + i % 3);
-            dispatcher.granted(new SlotGrant(worker(i), zone, SIZE, fleet.slots(), FAR), now);
+            dispatcher.granted(new WorkerGrant(worker(i), zone, SIZE, fleet.slots(), FAR), now);
         }
         for (Schedule.Arrival arrival : schedule.arrivals()) {
             advance(arrival.atNanos());
--- a/bench/src/main/java/org/crocusgrade/bench/trial/Deployment.java
+++ b/bench/src/main/java/org/crocusgrade/bench/trial/Deployment.java
@@ -92,13 +92,16 @@
         return loads;
     }
 
-    /** Reads its sample service files, by name. */
+    /** Reads its sample files, the services' and the fleet's, by name. */
     public Map<String, String> samples() throws TrialException {
         Map<String, String> texts = new LinkedHashMap<>();
+        String folder = "samples/" + name().toLowerCase() + "/";
         for (Queue queue : queues) {
-            String name = "samples/" + name().toLowerCase() + "/" + queue.service() + ".ini";
+            String name = folder + queue.service() + ".ini";
             texts.put(name, read(name));
         }
+        String policy = folder + "fleet.ini";
+        texts.put(policy, read(policy));
         return texts;
     }
 
--- a/bench/src/main/java/org/crocusgrade/bench/trial/Trial.java
+++ b/bench/src/main/java/org/crocusgrade/bench/trial/Trial.java
@@ -100,7 +100,7 @@
         platform = new EmbeddedPlatform(vertx, clock, deployment.fleet(), plan.seed());
         store = new HttpKeyValueStore(vertx, platform.serviceAddress(), STORE_TIMEOUT);
         publish(deployment.samples());
-        progress.accept("published " + deployment.samples().size() + " service files");
+        progress.accept("published " + deployment.samples().size() + " files");
         daemons =
                 new EmbeddedDaemons(
                         platform, deployment.region(), deployment.fleet().zones(), plan.daemons());
--- a/core/src/main/java/org/crocusgrade/core/dispatch/GrantedSlots.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/GrantedSlots.java
@@ -22,7 +22,7 @@
     }
 
     /** Takes a grant in place of the one before. */
-    void set(SlotGrant grant) {
+    void set(WorkerGrant grant) {
         Entry entry = entries.get(grant.worker());
         if (entry == null) {
             if (grant.slots() == 0) {
@@ -72,7 +72,7 @@
         long bestRank = 0;
         for (Entry entry : entries.values()) {
             if (entry.free(now) == 0
-                    || !SlotGrant.fits(pending.request.needs(), entry.grant.size())) {
+                    || !WorkerGrant.fits(pending.request.needs(), entry.grant.size())) {
                 continue;
             }
             long rank = rank(entry, pending, now);
@@ -148,13 +148,13 @@
     }
 
     private static final class Entry {
-        private SlotGrant grant;
+        private WorkerGrant grant;
         private int running;
         private int failures;
         private boolean paused;
         private long pausedUntilNanos;
 
-        private Entry(SlotGrant grant) {
+        private Entry(WorkerGrant grant) {
             this.grant = grant;
         }
 
--- a/core/src/main/java/org/crocusgrade/core/dispatch/ServiceQueue.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/ServiceQueue.java
@@ -138,7 +138,7 @@
             return false;
         }
         for (Needs size : largestWorkers) {
-            if (SlotGrant.fits(needs, size)) {
+            if (WorkerGrant.fits(needs, size)) {
                 return false;
             }
         }
@@ -146,7 +146,7 @@
     }
 
     /** Takes a grant of slots in place of the worker's grant before it. */
-    public void granted(SlotGrant grant, long now) {
+    public void granted(WorkerGrant grant, long now) {
         slots.set(grant);
         pump(now);
     }
--- a/core/src/main/java/org/crocusgrade/core/dispatch/SlotGrant.java
+++ b/core/src/main/java/org/crocusgrade/core/dispatch/WorkerGrant.java
@@ -14,10 +14,10 @@
  * @param slots how many requests the daemon may run on it at once; 0 when all are recalled
  * @param untilNanos no request is started on it at or after this monotonic time
  */
-public record SlotGrant(
+public record WorkerGrant(
         WorkerId worker, AvailabilityZone zone, Needs size, int slots, long untilNanos) {
     /** Checks the fields. */
-    public SlotGrant {
+    public WorkerGrant {
         Objects.requireNonNull(worker);
         Objects.requireNonNull(zone);
         Objects.requireNonNull(size);
--- a/core/src/test/java/org/crocusgrade/core/config/ServiceFileCasesTest.java
+++ b/core/src/test/java/org/crocusgrade/core/config/ServiceFileCasesTest.java
@@ -50,6 +50,10 @@
                                 List<FleetRules.NamedService> all = new ArrayList<>();
                                 int workers = 0;
                                 for (Path f : files) {
+                                    if (f.endsWith("fleet.ini")) {
+                                        FleetPolicyReader.read(f.toString(), Files.readString(f));
+                                        continue;
+                                    }
                                     ServiceConfig c =
                                             ServiceFileReader.read(
                                                     f.toString(), Files.readAllBytes(f));
--- a/core/src/test/java/org/crocusgrade/core/dispatch/CheckedWorkers.java
+++ b/core/src/test/java/org/crocusgrade/core/dispatch/CheckedWorkers.java
@@ -22,7 +22,7 @@
     boolean mayCancel = true;
     long now;
 
-    private final Map<WorkerId, SlotGrant> grants = new HashMap<>();
+    private final Map<WorkerId, WorkerGrant> grants = new HashMap<>();
     private final Set<RequestId> offered = new HashSet<>();
     private final Map<RequestId, Integer> mayHaveRun = new HashMap<>();
     private ServiceQueue queue;
@@ -36,7 +36,7 @@
         queue.offer(request, now);
     }
 
-    void grant(SlotGrant grant) {
+    void grant(WorkerGrant grant) {
         grants.put(grant.worker(), grant);
         queue.granted(grant, now);
     }
@@ -77,7 +77,7 @@
         require(request.deadlineNanos() > now, "started after its deadline");
         int before = mayHaveRun.merge(request.id(), 1, Integer::sum) - 1;
         require(request.idempotent() || before == 0, "may run twice: " + attempt);
-        SlotGrant grant = grants.get(attempt.worker());
+        WorkerGrant grant = grants.get(attempt.worker());
         require(grant != null && grant.untilNanos() > now, "started without a lease: " + attempt);
         long busy =
                 running.values().stream().filter(a -> a.worker().equals(attempt.worker())).count();
--- a/core/src/test/java/org/crocusgrade/core/dispatch/ServiceQueuePropertyTest.java
+++ b/core/src/test/java/org/crocusgrade/core/dispatch/ServiceQueuePropertyTest.java
@@ -117,8 +117,8 @@
         }
     }
 
-    private static SlotGrant grant(String worker, int slots, long until) {
-        return new SlotGrant(
+    private static WorkerGrant grant(String worker, int slots, long until) {
+        return new WorkerGrant(
                 new WorkerId(worker),
                 new AvailabilityZone("az" + worker.charAt(1)),
                 SIZE,
--- a/core/src/test/java/org/crocusgrade/core/dispatch/SessionCase.java
+++ b/core/src/test/java/org/crocusgrade/core/dispatch/SessionCase.java
@@ -148,9 +148,9 @@
                 new Needs(Integer.parseInt(args.getOrDefault("cores", "1")), 0, 0));
     }
 
-    private SlotGrant grant(String worker, Map<String, String> args) {
+    private WorkerGrant grant(String worker, Map<String, String> args) {
         long until = Long.parseLong(args.getOrDefault("until", "1000000")) * MILLI;
-        return new SlotGrant(
+        return new WorkerGrant(
                 new WorkerId(worker),
                 new AvailabilityZone(args.getOrDefault("zone", "az1")),
                 new Needs(Integer.parseInt(args.getOrDefault("cores", "32")), 0, 0),
--- a/daemon/src/main/java/org/crocusgrade/daemon/edge/ServiceFlow.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/edge/ServiceFlow.java
@@ -19,7 +19,7 @@
 import org.crocusgrade.core.dispatch.Request;
 import org.crocusgrade.core.dispatch.RunEnd;
 import org.crocusgrade.core.dispatch.ServiceQueue;
-import org.crocusgrade.core.dispatch.SlotGrant;
+import org.crocusgrade.core.dispatch.WorkerGrant;
 import org.crocusgrade.core.fleet.Slot;
 import org.crocusgrade.core.fleet.SlotPool;
 import org.crocusgrade.core.fleet.plan.DemandReport.PoolDemand;
@@ -244,7 +244,7 @@
         for (WorkerId worker : granted) {
             if (!next.contains(worker)) {
                 Needs none = new Needs(0, 0, 0);
-                queue.granted(new SlotGrant(worker, parts.zone(), none, 0, now), now);
+                queue.granted(new WorkerGrant(worker, parts.zone(), none, 0, now), now);
             }
         }
         granted = next;
@@ -287,9 +287,9 @@
             }
         }
 
-        SlotGrant grant(HostEntry host) {
+        WorkerGrant grant(HostEntry host) {
             Needs size = new Needs(host.cores(), host.memoryBytes(), host.accelerators());
-            return new SlotGrant(worker, zone, size, count, untilNanos);
+            return new WorkerGrant(worker, zone, size, count, untilNanos);
         }
     }
 }
--- a/daemon/src/test/java/org/crocusgrade/daemon/TestFleet.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/TestFleet.java
@@ -151,7 +151,7 @@
     }
 
     private static boolean isServiceFile(Path file) {
-        return file.toString().endsWith(".ini");
+        return file.toString().endsWith(".ini") && !file.endsWith("fleet.ini");
     }
 
     /** Returns a client of the platform's service. */
