--- a/daemon/src/main/java/org/crocusgrade/daemon/edge/ServiceFlow.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/edge/ServiceFlow.java
@@ -1,5 +1,6 @@
 package org.crocusgrade.daemon.edge;
 
+import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Vertx;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -20,6 +21,7 @@
 import org.crocusgrade.core.dispatch.RunEnd;
 import org.crocusgrade.core.dispatch.ServiceQueue;
 import org.crocusgrade.core.dispatch.WorkerGrant;
+import org.crocusgrade.core.dispatch.WorkerHealth;
 import org.crocusgrade.core.fleet.Slot;
 import org.crocusgrade.core.fleet.SlotPool;
 import org.crocusgrade.core.fleet.plan.DemandReport.PoolDemand;
@@ -56,11 +58,14 @@
     /** The time for which an attempt that must not be cancelled may run on. */
     private static final Duration RUN_ON_GRACE = Duration.ofMinutes(10);
 
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
     private final Parts parts;
     private volatile ServiceConfig config;
     private final Mailbox mailbox;
     private final ServiceQueue queue;
     private final Map<RequestId, Exchange> exchanges = new HashMap<>();
+    private final WorkerHealth health = new WorkerHealth();
     private Set<WorkerId> granted = new HashSet<>();
     private volatile FleetSnapshot fleet = FleetSnapshot.EMPTY;
     private int wantedBefore;
@@ -203,6 +208,22 @@
             exchange.result = result;
         }
         queue.finished(attempt, result.end(), now);
+        judge(attempt.worker(), result.end(), now);
+    }
+
+    /** Takes an end to the worker's health; what may be started changes when its state does. */
+    private void judge(WorkerId worker, RunEnd end, long now) {
+        WorkerHealth.State before = health.state(worker, now);
+        health.report(worker, end, now);
+        WorkerHealth.State after = health.state(worker, now);
+        if (after == before) {
+            return;
+        }
+        if (after == WorkerHealth.State.OUT) {
+            parts.metrics().takenOut(config.service());
+            logger.atWarning().log("dispatch: %s fails what it starts, kept off it", worker);
+        }
+        grant(now);
     }
 
     @Override
@@ -233,12 +254,14 @@
         for (Slot slot : parts.slots().usable(config.pool(), now)) {
             held.computeIfAbsent(slot.worker(), worker -> new HeldSlots(slot)).add(slot);
         }
+        health.pool(held.size(), 0);
         Set<WorkerId> next = new HashSet<>();
         for (HeldSlots each : held.values()) {
             Optional<HostEntry> host = fleet.host(each.worker);
             if (host.isPresent()) {
                 next.add(each.worker);
-                queue.granted(each.grant(host.get()), now);
+                int allowed = health.allowedSlots(each.worker, each.count, now);
+                queue.granted(each.grant(host.get(), allowed), now);
             }
         }
         for (WorkerId worker : granted) {
@@ -287,9 +310,9 @@
             }
         }
 
-        WorkerGrant grant(HostEntry host) {
+        WorkerGrant grant(HostEntry host, int allowed) {
             Needs size = new Needs(host.cores(), host.memoryBytes(), host.accelerators());
-            return new WorkerGrant(worker, zone, size, count, untilNanos);
+            return new WorkerGrant(worker, zone, size, allowed, untilNanos);
         }
     }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/metrics/DaemonMetrics.java
@@ -29,6 +29,12 @@
                     .help("Attempts tried again, by service and how the attempt before ended.")
                     .labelNames("service", "end")
                     .register(registry);
+    private final Counter takenOut =
+            Counter.builder()
+                    .name("crocusgrade_workers_taken_out")
+                    .help("Times that a worker was kept off because it fails what it starts.")
+                    .labelNames("service")
+                    .register(registry);
     private final Counter drops =
             Counter.builder()
                     .name("crocusgrade_peer_drops")
@@ -56,6 +62,11 @@
         retries.labelValues(service.value(), label(end.name())).inc();
     }
 
+    /** Counts a worker that this daemon keeps off because it fails what it starts. */
+    public void takenOut(ServiceId service) {
+        takenOut.labelValues(service.value()).inc();
+    }
+
     /** Counts a dropped frame or connection between daemons. */
     public void dropped(FrameDropReason reason) {
         drops.labelValues(reason.code).inc();
--- a/daemon/src/main/java/org/crocusgrade/daemon/planner/MaintenanceRole.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/planner/MaintenanceRole.java
@@ -47,6 +47,9 @@
  * runs on the control thread.
  */
 public final class MaintenanceRole {
+    /** Ticks that pass between two looks while nothing is due. */
+    private static final int QUIET_TICKS = 4;
+
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final String PREFIX = "maintenance/";
 
@@ -63,6 +66,7 @@
     private final MaintenancePlanner planner = new DefaultMaintenancePlanner();
     private final Map<WorkerId, Instant> lastDown = new HashMap<>();
     private volatile Optional<MaintenanceStep> last = Optional.empty();
+    private int quietTicks;
     private boolean busy;
 
     /** Makes a role that follows the planner's. */
@@ -115,10 +119,22 @@
         if (busy || config.get().services().isEmpty() || fleet.snapshot().racks().isEmpty()) {
             return;
         }
+        if (isQuiet() && quietTicks < QUIET_TICKS) {
+            quietTicks++;
+            return;
+        }
+        quietTicks = 0;
         busy = true;
         store.get(key).emitOn(control).subscribe().with(this::onRecord, this::onFailure);
     }
 
+    /** Returns whether the last look found no worker due or out, so that the next can wait. */
+    private boolean isQuiet() {
+        return last.map(MaintenanceStep::progress)
+                .filter(progress -> progress.due() == 0 && progress.active() == 0)
+                .isPresent();
+    }
+
     private void onFailure(Throwable failure) {
         busy = false;
         logger.atFine().log("maintenance: %s", failure.getMessage());
