Read and write the records of the platform's service by one piece of code

Cause: four codecs each had their own mapper, checks and readers of fields. Change: RecordJson has them once; the member record now refuses unknown fields too.

--- a/bench/src/main/java/org/crocusgrade/bench/experiment/TakeoverExperiment.java
+++ b/bench/src/main/java/org/crocusgrade/bench/experiment/TakeoverExperiment.java
@@ -15,8 +15,8 @@
 import org.crocusgrade.bench.trial.FleetHistory;
 import org.crocusgrade.core.fleet.RackCodec;
 import org.crocusgrade.core.fleet.RackRecord;
-import org.crocusgrade.core.fleet.RecordException;
 import org.crocusgrade.core.member.MemberRecord;
+import org.crocusgrade.core.misc.RecordException;
 import org.crocusgrade.standin.platform.Change;
 
 /**
--- a/cli/src/main/java/org/crocusgrade/cli/Fleet.java
+++ b/cli/src/main/java/org/crocusgrade/cli/Fleet.java
@@ -9,9 +9,9 @@
 import org.crocusgrade.core.config.Publisher;
 import org.crocusgrade.core.fleet.RackCodec;
 import org.crocusgrade.core.fleet.RackRecord;
-import org.crocusgrade.core.fleet.RecordException;
 import org.crocusgrade.core.fleet.WorkerRecord;
 import org.crocusgrade.core.id.PoolId;
+import org.crocusgrade.core.misc.RecordException;
 import org.crocusgrade.core.port.Clock;
 import org.crocusgrade.core.port.StoreEntry;
 
--- a/core/src/main/java/org/crocusgrade/core/maintenance/WaveCodec.java
+++ b/core/src/main/java/org/crocusgrade/core/maintenance/WaveCodec.java
@@ -1,32 +1,24 @@
 package org.crocusgrade.core.maintenance;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.StreamReadConstraints;
-import com.fasterxml.jackson.core.StreamReadFeature;
-import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.io.IOException;
 import java.time.DateTimeException;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Iterator;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import org.crocusgrade.core.fleet.RecordException;
 import org.crocusgrade.core.id.Epoch;
 import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.misc.RecordException;
+import org.crocusgrade.core.misc.RecordJson;
 
 /** Writes the record of maintenance as JSON and reads it back, refusing what it does not know. */
 public final class WaveCodec {
     /** The largest record, in bytes; the platform's service holds up to 1 MiB. */
     public static final int MAX_BYTES = 1 << 20;
 
-    private static final int MAX_DEPTH = 4;
     private static final Set<String> FIELDS =
             Set.of(
                     "epoch",
@@ -41,23 +33,12 @@
                     "hostMillis");
     private static final Set<String> HOST_FIELDS =
             Set.of("phase", "since", "started", "operation", "failure");
-    private static final ObjectMapper MAPPER =
-            JsonMapper.builder()
-                    .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
-                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-                    .build();
-
-    static {
-        MAPPER.getFactory()
-                .setStreamReadConstraints(
-                        StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).build());
-    }
 
     private WaveCodec() {}
 
     /** Writes a record. */
     public static byte[] encode(WaveRecord record) {
-        ObjectNode node = MAPPER.createObjectNode();
+        ObjectNode node = RecordJson.newObject();
         node.put("epoch", record.epoch().value());
         node.put("wave", record.wave());
         node.put("status", record.status().name());
@@ -70,11 +51,7 @@
         ObjectNode maintained = node.putObject("maintained");
         record.maintained().forEach((w, at) -> maintained.put(w.value(), at.toEpochMilli()));
         node.put("hostMillis", record.hostTime().toMillis());
-        try {
-            return MAPPER.writeValueAsBytes(node);
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException("a tree of texts and numbers cannot be written", e);
-        }
+        return RecordJson.write(node);
     }
 
     private static void put(ObjectNode node, HostProgress host) {
@@ -87,50 +64,38 @@
 
     /** Reads a record. */
     public static WaveRecord decode(byte[] bytes) throws RecordException {
-        if (bytes.length > MAX_BYTES) {
-            throw new RecordException(RecordException.Kind.TOO_LARGE, "record of maintenance");
-        }
-        JsonNode node = parse(bytes);
-        requireFields(node, FIELDS);
+        JsonNode node = RecordJson.read(bytes, MAX_BYTES, "record of maintenance", FIELDS);
         try {
             return new WaveRecord(
-                    new Epoch(number(node, "epoch")),
-                    number(node, "wave"),
-                    WaveRecord.Status.valueOf(text(node, "status")),
-                    optional(node, "stopped").map(MaintenanceReason::valueOf),
-                    optional(node, "image"),
-                    Math.toIntExact(number(node, "attempt")),
+                    new Epoch(RecordJson.number(node, "epoch")),
+                    RecordJson.number(node, "wave"),
+                    WaveRecord.Status.valueOf(RecordJson.text(node, "status")),
+                    RecordJson.optional(node, "stopped").map(MaintenanceReason::valueOf),
+                    RecordJson.optional(node, "image"),
+                    Math.toIntExact(RecordJson.number(node, "attempt")),
                     instant(node, "started"),
                     hosts(object(node, "hosts")),
                     maintained(object(node, "maintained")),
-                    Duration.ofMillis(number(node, "hostMillis")));
+                    Duration.ofMillis(RecordJson.number(node, "hostMillis")));
         } catch (IllegalArgumentException | ArithmeticException | DateTimeException e) {
             throw new RecordException(RecordException.Kind.OUT_OF_RANGE, e.getMessage(), e);
         }
     }
 
-    private static JsonNode parse(byte[] bytes) throws RecordException {
-        try {
-            return MAPPER.readTree(bytes);
-        } catch (IOException e) {
-            throw new RecordException(RecordException.Kind.MALFORMED, "not JSON", e);
-        }
-    }
-
     private static Map<WorkerId, HostProgress> hosts(JsonNode node) throws RecordException {
         Map<WorkerId, HostProgress> hosts = new TreeMap<>();
         for (Iterator<String> names = node.fieldNames(); names.hasNext(); ) {
             String name = names.next();
             JsonNode host = node.get(name);
-            requireFields(host, HOST_FIELDS);
+            RecordJson.requireFields(host, HOST_FIELDS);
             hosts.put(
                     new WorkerId(name),
                     new HostProgress(
-                            HostProgress.Phase.valueOf(text(host, "phase")),
+                            HostProgress.Phase.valueOf(RecordJson.text(host, "phase")),
                             instant(host, "since"),
                             instant(host, "started"),
-                            text(host, "operation"),
-                            optional(host, "failure").map(MaintenanceReason::valueOf)));
+                            RecordJson.text(host, "operation"),
+                            RecordJson.optional(host, "failure").map(MaintenanceReason::valueOf)));
         }
         return hosts;
     }
@@ -144,18 +109,6 @@
         return maintained;
     }
 
-    private static void requireFields(JsonNode node, Set<String> known) throws RecordException {
-        if (node == null || !node.isObject()) {
-            throw new RecordException(RecordException.Kind.MALFORMED, "not an object");
-        }
-        for (Iterator<String> names = node.fieldNames(); names.hasNext(); ) {
-            String name = names.next();
-            if (!known.contains(name)) {
-                throw new RecordException(RecordException.Kind.UNKNOWN_FIELD, name);
-            }
-        }
-    }
-
     private static JsonNode object(JsonNode node, String field) throws RecordException {
         JsonNode value = node.get(field);
         if (value == null || !value.isObject()) {
@@ -164,34 +117,7 @@
         return value;
     }
 
-    private static String text(JsonNode node, String field) throws RecordException {
-        Optional<String> text = optional(node, field);
-        if (text.isEmpty()) {
-            throw new RecordException(RecordException.Kind.MISSING_FIELD, field);
-        }
-        return text.get();
-    }
-
-    private static Optional<String> optional(JsonNode node, String field) throws RecordException {
-        JsonNode value = node.get(field);
-        if (value == null) {
-            return Optional.empty();
-        }
-        if (!value.isTextual()) {
-            throw new RecordException(RecordException.Kind.MALFORMED, field);
-        }
-        return Optional.of(value.textValue());
-    }
-
     private static Instant instant(JsonNode node, String field) throws RecordException {
-        return Instant.ofEpochMilli(number(node, field));
-    }
-
-    private static long number(JsonNode node, String field) throws RecordException {
-        JsonNode value = node.get(field);
-        if (value == null || !value.isIntegralNumber() || !value.canConvertToLong()) {
-            throw new RecordException(RecordException.Kind.MALFORMED, field);
-        }
-        return value.longValue();
+        return Instant.ofEpochMilli(RecordJson.number(node, field));
     }
 }
--- a/core/src/main/java/org/crocusgrade/core/member/MemberCodec.java
+++ b/core/src/main/java/org/crocusgrade/core/member/MemberCodec.java
@@ -1,29 +1,30 @@
 package org.crocusgrade.core.member;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Set;
 import org.crocusgrade.core.id.AvailabilityZone;
 import org.crocusgrade.core.id.BootId;
 import org.crocusgrade.core.id.DaemonId;
 import org.crocusgrade.core.id.Region;
 import org.crocusgrade.core.misc.Addresses;
+import org.crocusgrade.core.misc.RecordException;
+import org.crocusgrade.core.misc.RecordJson;
 
 /** Writes member records as JSON and reads them back. */
 public final class MemberCodec {
     /** The largest record, in bytes. */
     public static final int MAX_BYTES = 16 * 1024;
 
-    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final Set<String> FIELDS =
+            Set.of("daemon", "boot", "region", "zone", "peers", "callers", "operators");
 
     private MemberCodec() {}
 
     /** Writes a record. */
     public static byte[] encode(MemberRecord record) {
         var node =
-                MAPPER.createObjectNode()
+                RecordJson.newObject()
                         .put("daemon", record.daemon().value())
                         .put("boot", record.boot().value())
                         .put("region", record.region().value())
@@ -31,42 +32,27 @@
                         .put("peers", Addresses.format(record.peers()))
                         .put("callers", Addresses.format(record.callers()))
                         .put("operators", Addresses.format(record.operators()));
-        try {
-            return MAPPER.writeValueAsBytes(node);
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException("a tree of texts cannot be written", e);
-        }
+        return RecordJson.write(node);
     }
 
     /** Reads a record. */
     public static MemberRecord decode(byte[] bytes) throws MemberException {
-        if (bytes.length > MAX_BYTES) {
-            throw new MemberException("The member record is too large.", null);
-        }
         try {
-            JsonNode node = MAPPER.readTree(bytes);
+            JsonNode node = RecordJson.read(bytes, MAX_BYTES, "member record", FIELDS);
             return new MemberRecord(
-                    new DaemonId(text(node, "daemon")),
-                    new BootId(text(node, "boot")),
-                    new Region(text(node, "region")),
-                    new AvailabilityZone(text(node, "zone")),
+                    new DaemonId(RecordJson.text(node, "daemon")),
+                    new BootId(RecordJson.text(node, "boot")),
+                    new Region(RecordJson.text(node, "region")),
+                    new AvailabilityZone(RecordJson.text(node, "zone")),
                     address(node, "peers"),
                     address(node, "callers"),
                     address(node, "operators"));
-        } catch (IOException | IllegalArgumentException e) {
+        } catch (RecordException | IllegalArgumentException e) {
             throw new MemberException("The member record cannot be read.", e);
         }
     }
 
-    private static InetSocketAddress address(JsonNode node, String field) {
-        return Addresses.parse(text(node, field));
-    }
-
-    private static String text(JsonNode node, String field) {
-        JsonNode value = node == null ? null : node.get(field);
-        if (value == null || !value.isTextual()) {
-            throw new IllegalArgumentException(field + " is missing");
-        }
-        return value.textValue();
+    private static InetSocketAddress address(JsonNode node, String field) throws RecordException {
+        return Addresses.parse(RecordJson.text(node, field));
     }
 }
--- a/core/src/main/java/org/crocusgrade/core/fleet/RecordException.java
+++ b/core/src/main/java/org/crocusgrade/core/misc/RecordException.java
@@ -1,4 +1,4 @@
-package org.crocusgrade.core.fleet;
+package org.crocusgrade.core.misc;
 
 import java.util.Objects;
 
--- a/core/src/test/java/org/crocusgrade/core/fleet/RackCodecTest.java
+++ b/core/src/test/java/org/crocusgrade/core/fleet/RackCodecTest.java
@@ -14,6 +14,7 @@
 import org.crocusgrade.core.id.PoolId;
 import org.crocusgrade.core.id.RackId;
 import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.misc.RecordException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
