--- a/cli/src/test/java/org/crocusgrade/cli/ArchitectureTest.java
+++ b/cli/src/test/java/org/crocusgrade/cli/ArchitectureTest.java
@@ -2,20 +2,21 @@
 
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
-import com.tngtech.archunit.junit.AnalyzeClasses;
-import com.tngtech.archunit.junit.ArchTest;
 import com.tngtech.archunit.lang.ArchRule;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
 
 /** Holds the direction of the modules, and what binds the processes that serve. */
-@AnalyzeClasses(packages = "org.crocusgrade", importOptions = ImportOption.DoNotIncludeTests.class)
 class ArchitectureTest {
     private static final String[] SERVING = {
         "org.crocusgrade.core..", "org.crocusgrade.peer..", "org.crocusgrade.daemon.."
     };
 
-    @ArchTest
-    static final ArchRule THE_LINK_KNOWS_ONLY_CORE =
+    private static final ArchRule THE_LINK_KNOWS_ONLY_CORE =
             noClasses()
                     .that()
                     .resideInAPackage("org.crocusgrade.peer..")
@@ -27,8 +28,7 @@
                             "org.crocusgrade.bench..",
                             "org.crocusgrade.cli..");
 
-    @ArchTest
-    static final ArchRule THE_DAEMON_KNOWS_NO_TOOLS =
+    private static final ArchRule THE_DAEMON_KNOWS_NO_TOOLS =
             noClasses()
                     .that()
                     .resideInAPackage("org.crocusgrade.daemon..")
@@ -39,8 +39,7 @@
                             "org.crocusgrade.bench..",
                             "org.crocusgrade.cli..");
 
-    @ArchTest
-    static final ArchRule STAND_INS_KNOW_NO_DAEMON =
+    private static final ArchRule STAND_INS_KNOW_NO_DAEMON =
             noClasses()
                     .that()
                     .resideInAPackage("org.crocusgrade.standin..")
@@ -52,8 +51,7 @@
                             "org.crocusgrade.bench..",
                             "org.crocusgrade.cli..");
 
-    @ArchTest
-    static final ArchRule NO_CLUSTERING_DISCOVERY_OR_PROXYING_OF_LIBRARIES =
+    private static final ArchRule NO_CLUSTERING_DISCOVERY_OR_PROXYING_OF_LIBRARIES =
             noClasses()
                     .that()
                     .resideInAnyPackage(SERVING)
@@ -67,8 +65,7 @@
                             "io.vertx.ext.web.proxy..",
                             "io.vertx.servicediscovery..");
 
-    @ArchTest
-    static final ArchRule A_DAEMON_STARTS_NO_PROCESS =
+    private static final ArchRule A_DAEMON_STARTS_NO_PROCESS =
             noClasses()
                     .that()
                     .resideInAnyPackage(SERVING)
@@ -79,8 +76,7 @@
                     .dependOnClassesThat()
                     .haveFullyQualifiedName("java.lang.Process");
 
-    @ArchTest
-    static final ArchRule DECISIONS_READ_NO_CLOCK =
+    private static final ArchRule DECISIONS_READ_NO_CLOCK =
             noClasses()
                     .that()
                     .resideInAPackage("org.crocusgrade.core..")
@@ -92,4 +88,20 @@
                     .callMethod(System.class, "currentTimeMillis")
                     .orShould()
                     .callMethod(java.time.Instant.class, "now");
+
+    @TestFactory
+    Stream<DynamicTest> rules() {
+        JavaClasses classes =
+                new ClassFileImporter()
+                        .withImportOption(new ImportOption.DoNotIncludeTests())
+                        .importPackages("org.crocusgrade");
+        return Stream.of(
+                        THE_LINK_KNOWS_ONLY_CORE,
+                        THE_DAEMON_KNOWS_NO_TOOLS,
+                        STAND_INS_KNOW_NO_DAEMON,
+                        NO_CLUSTERING_DISCOVERY_OR_PROXYING_OF_LIBRARIES,
+                        A_DAEMON_STARTS_NO_PROCESS,
+                        DECISIONS_READ_NO_CLOCK)
+                .map(r -> DynamicTest.dynamicTest(r.getDescription(), () -> r.check(classes)));
+    }
 }
--- a/core/src/test/java/org/crocusgrade/core/LayersTest.java
+++ b/core/src/test/java/org/crocusgrade/core/LayersTest.java
@@ -2,25 +2,23 @@
 
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
-import com.tngtech.archunit.junit.AnalyzeClasses;
-import com.tngtech.archunit.junit.ArchTest;
 import com.tngtech.archunit.lang.ArchRule;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
 
 /** Holds the direction of the dependencies of core. */
-@AnalyzeClasses(
-        packages = "org.crocusgrade.core",
-        importOptions = ImportOption.DoNotIncludeTests.class)
 class LayersTest {
-    @ArchTest
-    static final ArchRule NO_IO_LIBRARIES =
+    private static final ArchRule NO_IO_LIBRARIES =
             noClasses()
                     .should()
                     .dependOnClassesThat()
                     .resideInAnyPackage("io.vertx..", "io.netty..", "com.google.protobuf..");
 
-    @ArchTest
-    static final ArchRule NOTHING_ABOVE =
+    private static final ArchRule NOTHING_ABOVE =
             noClasses()
                     .should()
                     .dependOnClassesThat()
@@ -31,8 +29,7 @@
                             "org.crocusgrade.bench..",
                             "org.crocusgrade.cli..");
 
-    @ArchTest
-    static final ArchRule IDS_DEPEND_ON_NOTHING =
+    private static final ArchRule IDS_DEPEND_ON_NOTHING =
             noClasses()
                     .that()
                     .resideInAPackage("org.crocusgrade.core.id..")
@@ -43,4 +40,14 @@
                             "org.crocusgrade.core.config..",
                             "org.crocusgrade.core.fleet..",
                             "org.crocusgrade.core.dispatch..");
+
+    @TestFactory
+    Stream<DynamicTest> rules() {
+        JavaClasses classes =
+                new ClassFileImporter()
+                        .withImportOption(new ImportOption.DoNotIncludeTests())
+                        .importPackages("org.crocusgrade.core");
+        return Stream.of(NO_IO_LIBRARIES, NOTHING_ABOVE, IDS_DEPEND_ON_NOTHING)
+                .map(r -> DynamicTest.dynamicTest(r.getDescription(), () -> r.check(classes)));
+    }
 }
