Drop a part that no service flow uses

Cause: the flows' parts still carried the Vert.x instance of the first whole path. Change: it is gone.

--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -153,13 +153,7 @@
     private FlowManager newFlows() {
         ServiceFlow.Parts parts =
                 new ServiceFlow.Parts(
-                        vertx,
-                        clock,
-                        settings.zone(),
-                        slots,
-                        workers,
-                        metrics,
-                        this::demandChanged);
+                        clock, settings.zone(), slots, workers, metrics, this::demandChanged);
         return new FlowManager(parts, () -> vertx.nettyEventLoopGroup().next());
     }
 
--- a/daemon/src/main/java/org/crocusgrade/daemon/edge/ServiceFlow.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/edge/ServiceFlow.java
@@ -1,7 +1,6 @@
 package org.crocusgrade.daemon.edge;
 
 import com.google.common.flogger.FluentLogger;
-import io.vertx.core.Vertx;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
@@ -44,7 +43,6 @@
 public final class ServiceFlow implements DispatchActions {
     /** What a flow uses of the daemon. */
     public record Parts(
-            Vertx vertx,
             Clock clock,
             AvailabilityZone zone,
             SlotPool slots,
