--- a/bin/launch.sh
+++ b/bin/launch.sh
@@ -1,7 +1,7 @@
 # Shared by the start scripts: builds when needed, then becomes the Java process.
 
-lib="$here/cli/target/lib"
-jar="$here/cli/target/crocusgrade-cli-0.1.0.jar"
+lib="$here/target/crocusgrade-cli/lib"
+jar="$here/target/crocusgrade-cli/crocusgrade-cli-0.1.0.jar"
 
 # Builds with Maven if there is no build or a source is newer. Output goes to standard error.
 build_if_needed() {
@@ -11,7 +11,7 @@
   echo "crocusgrade: building" >&2
   rm -rf "$lib"
   (cd "$here" && mvn -B -ntp -q -DskipTests package) >&2 || exit 1
-  rm -f "$here"/cli/target/*.jsa
+  rm -f "$here"/target/crocusgrade-cli/*.jsa
   touch "$jar"
 }
 
--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/config/QueueTable.java
@@ -0,0 +1,61 @@
+package org.crocusgrade.core.config;
+
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.crocusgrade.core.id.QueueId;
+import org.crocusgrade.core.id.ServiceId;
+
+/**
+ * One version of the operators' configuration, immutable: queues and pools.
+ *
+ * @param version grows with each change, in uneven steps
+ * @param queues the queues
+ * @param pools the pools, by service
+ */
+public record QueueTable(long version, List<QueueRoute> queues, Map<ServiceId, PoolPolicy> pools) {
+    /** The table before any configuration is known. */
+    public static final QueueTable EMPTY = new QueueTable(0, List.of(), Map.of());
+
+    /** Copies the collections. */
+    public QueueTable {
+        queues = List.copyOf(queues);
+        pools = Map.copyOf(new LinkedHashMap<>(pools));
+    }
+
+    /** Returns whether a configuration is known. */
+    public boolean isKnown() {
+        return version > 0;
+    }
+
+    /** Returns the queue of a call: that with the longest prefix of the path. */
+    public Optional<QueueRoute> route(String host, String path) {
+        QueueRoute best = null;
+        for (QueueRoute queue : queues) {
+            boolean longer = best == null || queue.prefix().length() > best.prefix().length();
+            if (longer && queue.matches(host, path)) {
+                best = queue;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Returns the services whose pools are switched off. */
+    public Set<ServiceId> standbyPools() {
+        Set<ServiceId> standby = new HashSet<>();
+        for (PoolPolicy pool : pools.values()) {
+            if (pool.standby()) {
+                standby.add(pool.service());
+            }
+        }
+        return standby;
+    }
+
+    /** Returns a queue by its name. */
+    public Optional<QueueRoute> queue(QueueId queue) {
+        return queues.stream().filter(q -> q.queue().equals(queue)).findFirst();
+    }
+}
--- a/core/src/main/java/org/crocusgrade/core/member/Rendezvous.java
+++ b/core/src/main/java/org/crocusgrade/core/member/Rendezvous.java
@@ -1,7 +1,9 @@
 package org.crocusgrade.core.member;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
 import java.util.zip.CRC32C;
 import org.crocusgrade.core.id.DaemonId;
@@ -33,6 +35,17 @@
         return Optional.ofNullable(best);
     }
 
+    /** Returns the daemons in order of their weights for the item, the highest first. */
+    public static List<DaemonId> ranked(String item, Collection<DaemonId> daemons) {
+        List<DaemonId> ranked = new ArrayList<>(daemons);
+        ranked.sort(
+                (a, b) -> {
+                    int order = Long.compareUnsigned(weight(item, b), weight(item, a));
+                    return order != 0 ? order : b.compareTo(a);
+                });
+        return ranked;
+    }
+
     private static long weight(String item, DaemonId daemon) {
         long hash = checksum(item) << Integer.SIZE | checksum(daemon.value());
         hash ^= hash >>> HALF;
--- a/core/src/main/java/org/crocusgrade/core/port/KeyValueStore.java
+++ b/core/src/main/java/org/crocusgrade/core/port/KeyValueStore.java
@@ -22,6 +22,19 @@
     /** Reads all entries whose keys start with the prefix, in order of key. */
     Uni<List<StoreEntry>> list(String prefix);
 
+    /** Reads all entries under the prefix and the revision from which a watch may go on. */
+    default Uni<WatchResult> snapshot(String prefix) {
+        return list(prefix)
+                .map(
+                        found -> {
+                            long last = 0;
+                            for (StoreEntry entry : found) {
+                                last = Math.max(last, entry.revision());
+                            }
+                            return new WatchResult(last, found, List.of());
+                        });
+    }
+
     /**
      * Writes an entry if its revision is the expected one.
      *
--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Order.java
@@ -0,0 +1,26 @@
+package org.crocusgrade.core.schedule;
+
+import java.util.Optional;
+import org.crocusgrade.core.submission.TaskId;
+
+/** What a worker is to be told. */
+public sealed interface Order {
+    /** Returns the worker. */
+    WorkerNode worker();
+
+    /** Start a run. */
+    record Start(Placement placement) implements Order {
+        @Override
+        public WorkerNode worker() {
+            return placement.worker();
+        }
+    }
+
+    /**
+     * Stop a run, also one that is not there yet.
+     *
+     * @param placement the run, unless it is one that this owner does not want to know
+     */
+    record Stop(WorkerNode worker, TaskId task, long run, Optional<Placement> placement)
+            implements Order {}
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placer.java
@@ -0,0 +1,163 @@
+package org.crocusgrade.core.schedule;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.crocusgrade.core.submission.Resources;
+import org.crocusgrade.core.submission.StepSpec;
+
+/**
+ * Chooses the worker for a task.
+ *
+ * <p>Load: pools whose hosts are lent to others between their own peaks. Tasks are packed on the
+ * fullest worker that still fits them, so that whole hosts come free. Long-running tasks go to
+ * workers that have such tasks already, as far as the step's limit for a worker allows, and the
+ * tasks of one step go to different racks first, so that a lost rack or a maintenance wave takes
+ * few of them.
+ */
+final class Placer {
+    /** How long a task waits for a place on the rack of its data or of its step, in nanoseconds. */
+    private static final long RACK_PATIENCE_NANOS = 800_000_000L;
+
+    private final PoolState pool;
+    private final Set<WorkerNode> reserved = new HashSet<>();
+
+    Placer(PoolState pool) {
+        this.pool = pool;
+    }
+
+    /** Begins a round: nothing is reserved. */
+    void begin() {
+        reserved.clear();
+    }
+
+    /** Keeps the emptiest worker that could take the step free for it during this round. */
+    void reserveFor(StepSpec step, long now) {
+        WorkerNode best = null;
+        for (WorkerNode worker : pool.workers().values()) {
+            boolean fits = step.reserved().fitsIn(worker.capacity()) && hasLabel(worker, step);
+            if (!fits || !worker.takesWork(now) || reserved.contains(worker)) {
+                continue;
+            }
+            if (best == null || worker.free().milliCores() > best.free().milliCores()) {
+                best = worker;
+            }
+        }
+        if (best != null) {
+            reserved.add(best);
+        }
+    }
+
+    /** Returns the most processors that a worker has free, in thousandths of a core. */
+    long mostFree(long now) {
+        long most = 0;
+        for (WorkerNode worker : pool.workers().values()) {
+            if (worker.takesWork(now) && !reserved.contains(worker)) {
+                most = Math.max(most, worker.free().milliCores());
+            }
+        }
+        return most;
+    }
+
+    /** Returns the best worker for a task, if one has room. */
+    Optional<WorkerNode> choose(Task task, long now) {
+        StepRun step = task.step();
+        WorkerNode best = null;
+        long bestCost = Long.MAX_VALUE;
+        for (WorkerNode worker : pool.workers().values()) {
+            if (!mayTake(worker, task, now)) {
+                continue;
+            }
+            long cost = step.spec().longRunning() ? longCost(worker, step) : batchCost(worker);
+            if (best == null || cost < bestCost) {
+                best = worker;
+                bestCost = cost;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Chooses the rack that a rack-local step keeps to: that with the most room. */
+    void chooseRack(StepRun step, long now) {
+        if (!step.spec().rackLocal() || step.rack().isPresent()) {
+            return;
+        }
+        Optional<String> best = Optional.empty();
+        long bestPlaces = 0;
+        for (String rack : racks()) {
+            long places = 0;
+            for (WorkerNode worker : pool.workers().values()) {
+                if (worker.rack().equals(Optional.of(rack)) && worker.takesWork(now)) {
+                    places += places(worker.free(), step.spec());
+                }
+            }
+            if (places > bestPlaces) {
+                bestPlaces = places;
+                best = Optional.of(rack);
+            }
+        }
+        step.chooseRack(best);
+    }
+
+    private boolean mayTake(WorkerNode worker, Task task, long now) {
+        StepRun step = task.step();
+        StepSpec spec = step.spec();
+        if (!worker.takesWork(now) || reserved.contains(worker)) {
+            return false;
+        }
+        if (!spec.reserved().fitsIn(worker.free()) || !hasLabel(worker, spec)) {
+            return false;
+        }
+        if (worker.placement(task.id()).isPresent()) {
+            return false;
+        }
+        if (spec.maxPerWorker() > 0 && worker.tasksOf(step.id()) >= spec.maxPerWorker()) {
+            return false;
+        }
+        return isOnWantedRack(worker, step, now);
+    }
+
+    private boolean isOnWantedRack(WorkerNode worker, StepRun step, long now) {
+        Optional<String> wanted = step.rack().or(() -> step.spec().dataRack());
+        if (wanted.isEmpty() || !racks().contains(wanted.get())) {
+            return true;
+        }
+        boolean patienceOver = now - step.rackWantedSince(now) > RACK_PATIENCE_NANOS;
+        return worker.hasLabel(wanted.get()) || patienceOver;
+    }
+
+    private Set<String> racks() {
+        Set<String> racks = new HashSet<>();
+        for (WorkerNode worker : pool.workers().values()) {
+            worker.rack().ifPresent(racks::add);
+        }
+        return racks;
+    }
+
+    private static boolean hasLabel(WorkerNode worker, StepSpec spec) {
+        return spec.requiredLabel().map(worker::hasLabel).orElse(true);
+    }
+
+    private static long places(Resources free, StepSpec spec) {
+        Resources each = spec.reserved();
+        long byCores =
+                each.milliCores() == 0 ? spec.tasks() : free.milliCores() / each.milliCores();
+        long byMemory = each.memoryMb() == 0 ? spec.tasks() : free.memoryMb() / each.memoryMb();
+        return Math.max(0, Math.min(byCores, byMemory));
+    }
+
+    private static long batchCost(WorkerNode worker) {
+        return worker.free().milliCores();
+    }
+
+    private long longCost(WorkerNode worker, StepRun step) {
+        long sameRack = 0;
+        for (WorkerNode other : pool.workers().values()) {
+            if (other.rack().equals(worker.rack())) {
+                sameRack += other.tasksOf(step.id());
+            }
+        }
+        long pinned = worker.longRunning() > 0 ? 0 : 1;
+        return (sameRack << 40) + (pinned << 36) + worker.free().milliCores();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolState.java
@@ -0,0 +1,90 @@
+package org.crocusgrade.core.schedule;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.submission.SubmissionId;
+import org.crocusgrade.core.submission.TaskId;
+
+/** The submissions and workers of one pool, as its owner knows them. */
+final class PoolState {
+    /** Runs that one owner can number before the numbers of the next begin. */
+    private static final long RUNS_PER_TERM = 1_000_000;
+
+    private final Map<SubmissionId, TrackedSubmission> submissions = new LinkedHashMap<>();
+    private final Set<TrackedSubmission> active = new LinkedHashSet<>();
+    private final Set<TrackedSubmission> dirty = new LinkedHashSet<>();
+    private final Map<WorkerId, WorkerNode> workers = new LinkedHashMap<>();
+    private final long runBase;
+    private boolean settled;
+
+    /**
+     * Makes an empty pool.
+     *
+     * @param term how often the pool has been taken over, counted from 1
+     */
+    PoolState(long term) {
+        runBase = (term - 1) * RUNS_PER_TERM;
+    }
+
+    /** Returns whether no run of an earlier owner can be going on unseen. */
+    boolean isSettled() {
+        return settled;
+    }
+
+    void setSettled() {
+        settled = true;
+    }
+
+    void add(TrackedSubmission submission) {
+        submissions.put(submission.id(), submission);
+        if (!submission.outcome().isFinal()) {
+            active.add(submission);
+        }
+    }
+
+    void forget(TrackedSubmission submission) {
+        submissions.remove(submission.id());
+        active.remove(submission);
+        dirty.remove(submission);
+    }
+
+    Optional<TrackedSubmission> find(SubmissionId id) {
+        return Optional.ofNullable(submissions.get(id));
+    }
+
+    Optional<Task> task(TaskId id) {
+        return find(id.step().submission()).flatMap(s -> s.task(id));
+    }
+
+    Collection<TrackedSubmission> submissions() {
+        return submissions.values();
+    }
+
+    Set<TrackedSubmission> active() {
+        return active;
+    }
+
+    void markDirty(TrackedSubmission submission) {
+        dirty.add(submission);
+        if (submission.outcome().isFinal()) {
+            active.remove(submission);
+        }
+    }
+
+    Set<TrackedSubmission> dirty() {
+        return dirty;
+    }
+
+    Map<WorkerId, WorkerNode> workers() {
+        return workers;
+    }
+
+    long nextRun(Task task) {
+        return Math.max(runBase, task.lastRun()) + 1;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Task.java
@@ -0,0 +1,101 @@
+package org.crocusgrade.core.schedule;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SortedSet;
+import java.util.TreeSet;
+import org.crocusgrade.core.submission.TaskId;
+
+/** One task of a submission: what is durable of it, and where its runs are. */
+public final class Task {
+    private final StepRun step;
+    private final TaskId id;
+    private final SortedSet<Long> failedRuns = new TreeSet<>();
+    private final List<Placement> placements = new ArrayList<>(1);
+    private boolean done;
+    private long lastRun;
+    private String checkpoint = "";
+    private long notBeforeNanos = Long.MIN_VALUE;
+
+    Task(StepRun step, int index) {
+        this.step = step;
+        id = new TaskId(step.id(), index);
+    }
+
+    /** Returns the task's name. */
+    public TaskId id() {
+        return id;
+    }
+
+    /** Returns the step that the task belongs to. */
+    public StepRun step() {
+        return step;
+    }
+
+    /** Returns whether a run has ended as done. */
+    public boolean isDone() {
+        return done;
+    }
+
+    /** Returns the numbers of the runs that have failed. */
+    public SortedSet<Long> failedRuns() {
+        return failedRuns;
+    }
+
+    /** Returns the last checkpoint; empty if there is none. */
+    public String checkpoint() {
+        return checkpoint;
+    }
+
+    /** Restores what was stored of the task. */
+    public void restore(Iterable<Long> failed, String saved) {
+        for (long run : failed) {
+            failedRuns.add(run);
+        }
+        checkpoint = saved;
+    }
+
+    /** Returns the runs that may still be going on. */
+    List<Placement> placements() {
+        return placements;
+    }
+
+    long lastRun() {
+        return lastRun;
+    }
+
+    void noteRun(long run) {
+        lastRun = Math.max(lastRun, run);
+    }
+
+    void setDone() {
+        done = true;
+    }
+
+    void setCheckpoint(String saved) {
+        if (!saved.isEmpty() && step.spec().checkpointing()) {
+            checkpoint = saved;
+        }
+    }
+
+    void waitUntil(long nanos) {
+        notBeforeNanos = nanos;
+    }
+
+    /** Returns whether a run may begin: none is going on, none was done, and no pause holds. */
+    boolean isStartable(long now) {
+        return !done
+                && placements.isEmpty()
+                && (notBeforeNanos == Long.MIN_VALUE || now - notBeforeNanos >= 0);
+    }
+
+    /** Returns whether the task works at its full share right now. */
+    boolean isAtWork() {
+        return placements.stream().anyMatch(Placement::isAtWork);
+    }
+
+    Optional<Placement> placementOf(long run) {
+        return placements.stream().filter(p -> p.run() == run).findFirst();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/schedule/TrackedSubmission.java
@@ -0,0 +1,222 @@
+package org.crocusgrade.core.schedule;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import org.crocusgrade.core.id.QueueId;
+import org.crocusgrade.core.submission.StepId;
+import org.crocusgrade.core.submission.SubmissionId;
+import org.crocusgrade.core.submission.SubmissionSpec;
+import org.crocusgrade.core.submission.SubmissionState;
+import org.crocusgrade.core.submission.TaskId;
+
+/**
+ * An accepted submission and how far it has come.
+ *
+ * <p>Each durable change raises {@link #changes()}. What callers are told of the end, and what
+ * workers are told to forget, follows {@link #stored()}, the change that the store has
+ * acknowledged.
+ */
+public final class TrackedSubmission {
+    private final SubmissionId id;
+    private final QueueId queue;
+    private final SubmissionSpec spec;
+    private final int maxAttempts;
+    private final Instant accepted;
+    private final long acceptedNanos;
+    private final boolean inherited;
+    private final List<List<StepRun>> occurrences;
+    private SubmissionState outcome = SubmissionState.QUEUED;
+    private SubmissionState storedOutcome = SubmissionState.QUEUED;
+    private Optional<Instant> ended = Optional.empty();
+    private boolean begun;
+    private long changes;
+    private long stored;
+    private int openSteps;
+
+    /**
+     * Starts to track.
+     *
+     * @param accepted when it was accepted, for the record
+     * @param acceptedNanos the same on the monotonic clock, as far as it is known
+     * @param inherited whether an earlier owner may have started tasks of it
+     */
+    public TrackedSubmission(
+            SubmissionId id,
+            QueueId queue,
+            SubmissionSpec spec,
+            int maxAttempts,
+            Instant accepted,
+            long acceptedNanos,
+            boolean inherited) {
+        this.id = Objects.requireNonNull(id);
+        this.queue = Objects.requireNonNull(queue);
+        this.spec = Objects.requireNonNull(spec);
+        this.maxAttempts = maxAttempts;
+        this.accepted = Objects.requireNonNull(accepted);
+        this.acceptedNanos = acceptedNanos;
+        this.inherited = inherited;
+        occurrences = new ArrayList<>(spec.occurrences());
+        for (int k = 0; k < spec.occurrences(); k++) {
+            List<StepRun> steps = new ArrayList<>(spec.steps().size());
+            for (int s = 0; s < spec.steps().size(); s++) {
+                steps.add(new StepRun(this, new StepId(id, k, s), spec.steps().get(s)));
+            }
+            occurrences.add(List.copyOf(steps));
+            openSteps += steps.size();
+        }
+    }
+
+    /** Returns the submission's name. */
+    public SubmissionId id() {
+        return id;
+    }
+
+    /** Returns the queue that it came by. */
+    public QueueId queue() {
+        return queue;
+    }
+
+    /** Returns what the caller handed in. */
+    public SubmissionSpec spec() {
+        return spec;
+    }
+
+    /** Returns the failed runs after which a task is given up. */
+    public int maxAttempts() {
+        return maxAttempts;
+    }
+
+    /** Returns when it was accepted. */
+    public Instant accepted() {
+        return accepted;
+    }
+
+    /** Returns when it was accepted on the monotonic clock. */
+    public long acceptedNanos() {
+        return acceptedNanos;
+    }
+
+    /** Returns whether an earlier owner may have started tasks of it. */
+    public boolean isInherited() {
+        return inherited;
+    }
+
+    /** Returns the steps of each occurrence. */
+    public List<List<StepRun>> occurrences() {
+        return occurrences;
+    }
+
+    /** Returns the task of a name, if there is one. */
+    public Optional<Task> task(TaskId name) {
+        StepId step = name.step();
+        if (step.occurrence() >= occurrences.size()
+                || step.step() >= spec.steps().size()
+                || name.index() >= spec.steps().get(step.step()).tasks()) {
+            return Optional.empty();
+        }
+        StepRun run = occurrences.get(step.occurrence()).get(step.step());
+        return Optional.of(run.tasks().get(name.index()));
+    }
+
+    /** Returns the state as the owner knows it; it may not be durable yet. */
+    public SubmissionState outcome() {
+        return outcome;
+    }
+
+    /** Returns the state for callers: an end is only told once it is durable. */
+    public SubmissionState visibleState() {
+        if (storedOutcome.isFinal()) {
+            return storedOutcome;
+        }
+        return begun ? SubmissionState.RUNNING : SubmissionState.QUEUED;
+    }
+
+    /** Returns when it ended, if it has. */
+    public Optional<Instant> ended() {
+        return ended;
+    }
+
+    /** Returns whether a task has begun. */
+    public boolean hasBegun() {
+        return begun;
+    }
+
+    /** Returns the number of the last durable change. */
+    public long changes() {
+        return changes;
+    }
+
+    /** Returns the number of the last change that the store has acknowledged. */
+    public long stored() {
+        return stored;
+    }
+
+    /** Takes note that the store has acknowledged all up to a change. */
+    public void setStored(long change, SubmissionState state) {
+        stored = Math.max(stored, change);
+        if (state.isFinal()) {
+            storedOutcome = state;
+        }
+    }
+
+    /** Restores the state that an earlier owner has stored. */
+    public void restore(SubmissionState state, Optional<Instant> endedAt, boolean hasBegun) {
+        if (state.isFinal()) {
+            outcome = state;
+            storedOutcome = state;
+            ended = endedAt;
+        }
+        begun |= hasBegun;
+    }
+
+    /** Ends the submission; the first end stays. */
+    public void end(SubmissionState state, Instant at) {
+        if (outcome.isFinal()) {
+            return;
+        }
+        outcome = state;
+        ended = Optional.of(at);
+        changes++;
+    }
+
+    /** Takes a task as done, also when read from the store. */
+    public boolean complete(StepRun step, Task task) {
+        if (!step.complete(task)) {
+            return false;
+        }
+        if (step.isDone()) {
+            openSteps--;
+        }
+        return true;
+    }
+
+    /** Returns whether the tasks of all steps have ended as done. */
+    public boolean isAllDone() {
+        return openSteps == 0;
+    }
+
+    void setBegun() {
+        begun = true;
+    }
+
+    void touch() {
+        changes++;
+    }
+
+    /** Returns whether a step's tasks may run: it is due, and all that it waits for is done. */
+    boolean isReady(StepRun step, Instant wall) {
+        int k = step.id().occurrence();
+        if (spec.recurrence().isPresent() && wall.isBefore(spec.recurrence().get().due(k))) {
+            return false;
+        }
+        for (int before : step.spec().after()) {
+            if (!occurrences.get(k).get(before).isDone()) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
@@ -0,0 +1,231 @@
+package org.crocusgrade.core.schedule;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.crocusgrade.core.id.HostId;
+import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.submission.Resources;
+import org.crocusgrade.core.submission.StepId;
+import org.crocusgrade.core.submission.TaskId;
+
+/** One life of a worker, as the owner of its pool sees it. */
+public final class WorkerNode {
+    private final WorkerId id;
+    private final Optional<HostId> host;
+    private final long born;
+    private final String zone;
+    private final Optional<String> rack;
+    private final Set<String> labels;
+    private final Resources capacity;
+    private final Map<TaskId, Placement> placements = new LinkedHashMap<>();
+    private final Deque<PendingEnd> pendingEnds = new ArrayDeque<>();
+    private Resources used = Resources.NONE;
+    private boolean usable;
+    private boolean draining;
+    private boolean evacuating;
+    private long lastEnd;
+    private long ackCursor;
+    private long distrustedUntilNanos = Long.MIN_VALUE;
+    private int failuresInRow;
+    private int longRunning;
+
+    /**
+     * Makes a worker on which nothing is known to run.
+     *
+     * @param born when this life began, as the worker says
+     */
+    public WorkerNode(
+            WorkerId id,
+            Optional<HostId> host,
+            long born,
+            String zone,
+            Optional<String> rack,
+            Set<String> labels,
+            Resources capacity) {
+        this.id = id;
+        this.host = host;
+        this.born = born;
+        this.zone = zone;
+        this.rack = rack;
+        this.labels = Set.copyOf(labels);
+        this.capacity = capacity;
+    }
+
+    /** Returns the worker's name. */
+    public WorkerId id() {
+        return id;
+    }
+
+    /** Returns the host that it runs on, if it says so. */
+    public Optional<HostId> host() {
+        return host;
+    }
+
+    /** Returns when this life began, as the worker says. */
+    public long born() {
+        return born;
+    }
+
+    /** Returns the availability zone. */
+    public String zone() {
+        return zone;
+    }
+
+    /** Returns the rack, if it says so. */
+    public Optional<String> rack() {
+        return rack;
+    }
+
+    /** Returns what it has in all. */
+    public Resources capacity() {
+        return capacity;
+    }
+
+    /** Returns what no run takes. */
+    public Resources free() {
+        return capacity.minus(used);
+    }
+
+    /** Returns the runs that may be going on. */
+    public Collection<Placement> placements() {
+        return placements.values();
+    }
+
+    /** Returns how many of the runs are of long-running tasks. */
+    public int longRunning() {
+        return longRunning;
+    }
+
+    /** Returns whether a long-running task here is not yet fully at work. */
+    public boolean hasTaskSettling() {
+        if (longRunning == 0) {
+            return false;
+        }
+        for (Placement placement : placements.values()) {
+            if (placement.task().step().spec().longRunning() && !placement.isAtWork()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Says whether orders may be sent: it is registered, takes work, and knows our token. */
+    public void setUsable(boolean now) {
+        usable = now;
+    }
+
+    /** Says that the worker is about to leave. */
+    public void setDraining(boolean now) {
+        draining = now;
+    }
+
+    /** Returns whether the worker is about to leave. */
+    public boolean isDraining() {
+        return draining;
+    }
+
+    /** Says whether the worker is to be emptied. */
+    public void setEvacuating(boolean now) {
+        evacuating = now;
+    }
+
+    /** Returns whether the worker is to be emptied. */
+    public boolean isEvacuating() {
+        return evacuating;
+    }
+
+    /** Returns whether new runs may be placed here. */
+    public boolean takesWork(long now) {
+        return usable && !draining && !evacuating && !isDistrusted(now);
+    }
+
+    /** Returns whether the worker is sound: it takes orders and does not fail all it starts. */
+    public boolean isSound(long now) {
+        return usable && !draining && !isDistrusted(now);
+    }
+
+    boolean isDistrusted(long now) {
+        return distrustedUntilNanos != Long.MIN_VALUE && now - distrustedUntilNanos < 0;
+    }
+
+    void distrustUntil(long nanos) {
+        distrustedUntilNanos = nanos;
+        failuresInRow = 0;
+    }
+
+    int noteFailure() {
+        return ++failuresInRow;
+    }
+
+    void noteSuccess() {
+        failuresInRow = 0;
+        distrustedUntilNanos = Long.MIN_VALUE;
+    }
+
+    boolean hasLabel(String label) {
+        return labels.contains(label);
+    }
+
+    Optional<Placement> placement(TaskId task) {
+        return Optional.ofNullable(placements.get(task));
+    }
+
+    void add(Placement placement) {
+        placements.put(placement.task().id(), placement);
+        placement.task().placements().add(placement);
+        used = used.plus(placement.task().step().spec().reserved());
+        if (placement.task().step().spec().longRunning()) {
+            longRunning++;
+        }
+    }
+
+    void remove(Placement placement) {
+        if (placements.remove(placement.task().id(), placement)) {
+            placement.task().placements().remove(placement);
+            used = used.minus(placement.task().step().spec().reserved());
+            if (placement.task().step().spec().longRunning()) {
+                longRunning--;
+            }
+        }
+    }
+
+    int tasksOf(StepId step) {
+        int count = 0;
+        for (TaskId task : placements.keySet()) {
+            if (task.step().equals(step)) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    long lastEnd() {
+        return lastEnd;
+    }
+
+    /** Takes note of an end that may be acknowledged once a submission's change is stored. */
+    void noteEnd(long number, Optional<TrackedSubmission> submission) {
+        lastEnd = number;
+        long change = submission.map(TrackedSubmission::changes).orElse(0L);
+        pendingEnds.add(new PendingEnd(number, submission, change));
+    }
+
+    /** Returns the number up to which the worker may forget the ends that it lists. */
+    public long ackCursor() {
+        while (!pendingEnds.isEmpty() && pendingEnds.peek().isStored()) {
+            ackCursor = pendingEnds.remove().number;
+        }
+        return ackCursor;
+    }
+
+    private record PendingEnd(long number, Optional<TrackedSubmission> submission, long change) {
+        boolean isStored() {
+            return submission.isEmpty() || submission.get().stored() >= change;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/submission/StepSpec.java
@@ -0,0 +1,63 @@
+package org.crocusgrade.core.submission;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * One step of a submission: tasks that are alike.
+ *
+ * @param tasks how many tasks
+ * @param demand what each task takes of its worker
+ * @param estimate the caller's rough estimate of a task's run time
+ * @param after positions of earlier steps whose tasks must all be done first
+ * @param gang whether the tasks run only together and end together
+ * @param rackLocal whether the tasks are slow unless they share a rack
+ * @param requiredLabel a label that the worker must have
+ * @param dataRack the label of the rack that has the data
+ * @param maxPerWorker most tasks of the step on one worker; 0 for no limit
+ * @param speculative whether several runs of a task may overlap
+ * @param checkpointing whether a task saves its progress
+ * @param longRunning whether the tasks run until the submission is cancelled
+ * @param image what the tasks run
+ * @param latencyTarget the tail latency that a serving task must stay below
+ * @param opportunistic whether the tasks only take processors that others leave
+ * @param maxUnavailable how many tasks may be away through planned work; 0 if not limited
+ */
+public record StepSpec(
+        int tasks,
+        Resources demand,
+        Duration estimate,
+        List<Integer> after,
+        boolean gang,
+        boolean rackLocal,
+        Optional<String> requiredLabel,
+        Optional<String> dataRack,
+        int maxPerWorker,
+        boolean speculative,
+        boolean checkpointing,
+        boolean longRunning,
+        Optional<String> image,
+        Optional<Duration> latencyTarget,
+        boolean opportunistic,
+        int maxUnavailable) {
+    /** Copies the list and checks the fields. */
+    public StepSpec {
+        after = List.copyOf(after);
+        Objects.requireNonNull(demand);
+        Objects.requireNonNull(estimate);
+        Objects.requireNonNull(requiredLabel);
+        Objects.requireNonNull(dataRack);
+        Objects.requireNonNull(image);
+        Objects.requireNonNull(latencyTarget);
+        if (tasks <= 0 || maxPerWorker < 0 || maxUnavailable < 0) {
+            throw new IllegalArgumentException("a step needs tasks, and limits of 0 or more");
+        }
+    }
+
+    /** Returns what a task reserves of its worker's capacity. */
+    public Resources reserved() {
+        return opportunistic ? demand.withoutCores() : demand;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyKeeper.java
@@ -0,0 +1,458 @@
+package org.crocusgrade.daemon.batch;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.smallrye.mutiny.Uni;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.crocusgrade.core.id.BootId;
+import org.crocusgrade.core.id.DaemonId;
+import org.crocusgrade.core.member.Rendezvous;
+import org.crocusgrade.core.misc.Addresses;
+import org.crocusgrade.core.port.CommitResult;
+import org.crocusgrade.core.port.KeyValueStore;
+import org.crocusgrade.core.port.LeaseId;
+import org.crocusgrade.core.port.StoreEntry;
+import org.crocusgrade.core.port.StoreException;
+import org.crocusgrade.core.port.StoreTransaction;
+import org.crocusgrade.daemon.control.PrefixWatcher;
+import org.crocusgrade.daemon.log.Event;
+import org.crocusgrade.peer.proto.StoredDaemon;
+import org.crocusgrade.peer.proto.StoredHolder;
+import org.crocusgrade.peer.proto.StoredTerm;
+
+/**
+ * Keeps this daemon's lease in the platform's store, and the duties that hang on it.
+ *
+ * <p>A duty without a holder is claimed by one transaction that demands the absence of the holder's
+ * key. Who claims first is a matter of rank: daemons with fewer duties come first, then rendezvous
+ * hashing decides, and each rank waits a little longer, so that one claim is the rule and a race
+ * costs nothing but a refused call. A daemon that was restarted takes back at once what its former
+ * life still seems to hold, since a machine runs one such process at a time.
+ */
+final class DutyKeeper {
+    /** How long a daemon's lease lives: a take-over must end before the leases of runs do. */
+    private static final Duration LEASE = Duration.ofMillis(2000);
+
+    /** The time between renewals, so that two may be lost, in milliseconds. */
+    private static final long RENEWAL_MILLIS = 600;
+
+    /** The pause after a failed call, in milliseconds. */
+    private static final long RETRY_MILLIS = 250;
+
+    /** The time that each rank waits longer before it claims, in milliseconds. */
+    private static final long RANK_MILLIS = 120;
+
+    /** The time between looks for duties without holder, in milliseconds. */
+    private static final long CLAIM_MILLIS = 100;
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final Runtime runtime;
+    private final DaemonId self;
+    private final BootId boot;
+    private final byte[] record;
+    private final Duration settleTime;
+    private final Listener listener;
+    private final PrefixWatcher watcher;
+    private final Map<Duty, Tenure> tenures = new TreeMap<>();
+    private final Set<Long> lostTokens = new HashSet<>();
+    private final Map<Duty, Long> missingSince = new HashMap<>();
+    private final Set<Duty> claiming = new HashSet<>();
+    private Map<String, StoreEntry> entries = Map.of();
+    private Map<DaemonId, InetSocketAddress> daemons = Map.of();
+    private Map<Duty, Holder> holders = Map.of();
+    private Set<Duty> wanted = Set.of();
+    private Optional<LeaseId> lease = Optional.empty();
+    private long confirmedNanos;
+    private long registeredNanos;
+    private boolean registered;
+    private boolean stopped;
+    private boolean storeLost;
+
+    /**
+     * Makes a keeper; {@link #start} makes it register.
+     *
+     * @param settleTime how long after its registration this daemon claims nothing, so that daemons
+     *     that start together find each other first
+     */
+    DutyKeeper(
+            Runtime runtime,
+            DaemonId self,
+            BootId boot,
+            String zone,
+            InetSocketAddress peerAddress,
+            Duration settleTime,
+            Listener listener) {
+        this.runtime = runtime;
+        this.self = self;
+        this.boot = boot;
+        this.settleTime = settleTime;
+        this.listener = listener;
+        record =
+                StoredDaemon.newBuilder()
+                        .setBoot(boot.value())
+                        .setAddress(Addresses.format(peerAddress))
+                        .setZone(zone)
+                        .build()
+                        .toByteArray();
+        watcher =
+                new PrefixWatcher(
+                        runtime.store(),
+                        StoreKeys.COORDINATION,
+                        runtime.loop(),
+                        e -> runtime.guard(() -> onEntries(e)));
+    }
+
+    void start() {
+        watcher.start();
+        grant();
+        runtime.every(CLAIM_MILLIS, this::claimMissing);
+    }
+
+    /** Sets which duties somebody must hold. */
+    void setWanted(Set<Duty> duties) {
+        wanted = new TreeSet<>(duties);
+    }
+
+    /** Returns the daemon that holds a duty, as far as this one knows. */
+    Optional<DaemonId> holder(Duty duty) {
+        if (tenures.containsKey(duty)) {
+            return Optional.of(self);
+        }
+        return Optional.ofNullable(holders.get(duty)).map(Holder::daemon);
+    }
+
+    /** Returns the entries that daemons share, by key. */
+    Map<String, StoreEntry> entries() {
+        return entries;
+    }
+
+    /** Returns whether the store has confirmed this daemon's lease within a time. */
+    boolean isConfirmedWithin(Duration age) {
+        return lease.isPresent() && runtime.clock().nanoTime() - confirmedNanos <= age.toNanos();
+    }
+
+    /** Gives a duty up because another daemon holds it, or may. */
+    void lose(Duty duty, String reason) {
+        Tenure tenure = tenures.remove(duty);
+        if (tenure == null) {
+            return;
+        }
+        lostTokens.add(tenure.token());
+        runtime.log().log(Event.DUTY_LOST, "duty", duty, "token", tenure.token(), "reason", reason);
+        listener.onLost(tenure);
+    }
+
+    /** Hands all duties back and leaves the list of daemons. */
+    void release() {
+        stopped = true;
+        for (Tenure tenure : List.copyOf(tenures.values())) {
+            release(tenure);
+        }
+        runtime.store()
+                .get(StoreKeys.daemon(self))
+                .onItem()
+                .transformToUni(
+                        e ->
+                                e.isEmpty()
+                                        ? Uni.createFrom().voidItem()
+                                        : runtime.store().delete(e.get().key(), e.get().revision()))
+                .subscribe()
+                .with(v -> {}, f -> onCallFailed("leave", f));
+    }
+
+    private void release(Tenure tenure) {
+        lose(tenure.duty(), "handed back");
+        runtime.store()
+                .delete(tenure.key(), tenure.token())
+                .subscribe()
+                .with(v -> {}, f -> onCallFailed("release " + tenure.duty(), f));
+    }
+
+    // The lease.
+
+    private void grant() {
+        if (stopped) {
+            return;
+        }
+        long asked = runtime.clock().nanoTime();
+        Duration time =
+                LEASE.compareTo(runtime.limits().minStoreLease()) > 0
+                        ? LEASE
+                        : runtime.limits().minStoreLease();
+        runtime.store()
+                .grantLease(time)
+                .emitOn(runtime.loop())
+                .subscribe()
+                .with(
+                        l -> {
+                            lease = Optional.of(l);
+                            confirm(asked);
+                            register(l);
+                            runtime.after(RENEWAL_MILLIS, () -> renew(l));
+                        },
+                        f -> {
+                            onCallFailed("grant", f);
+                            runtime.after(RETRY_MILLIS, this::grant);
+                        });
+    }
+
+    private void register(LeaseId granted) {
+        if (stopped || !lease.equals(Optional.of(granted))) {
+            return;
+        }
+        StoreTransaction change =
+                StoreTransaction.builder().put(StoreKeys.daemon(self), record, granted).build();
+        runtime.store()
+                .commit(change)
+                .emitOn(runtime.loop())
+                .subscribe()
+                .with(
+                        r -> {
+                            if (!registered) {
+                                registered = true;
+                                registeredNanos = runtime.clock().nanoTime();
+                            }
+                        },
+                        f -> {
+                            onCallFailed("register", f);
+                            runtime.after(RETRY_MILLIS, () -> register(granted));
+                        });
+    }
+
+    private void renew(LeaseId held) {
+        if (stopped || !lease.equals(Optional.of(held))) {
+            return;
+        }
+        long asked = runtime.clock().nanoTime();
+        runtime.store()
+                .renewLease(held)
+                .emitOn(runtime.loop())
+                .subscribe()
+                .with(
+                        v -> {
+                            confirm(asked);
+                            runtime.after(RENEWAL_MILLIS, () -> renew(held));
+                        },
+                        f -> onRenewalFailed(held, f));
+    }
+
+    private void onRenewalFailed(LeaseId held, Throwable failure) {
+        boolean lost =
+                failure instanceof StoreException e && e.kind() == StoreException.Kind.LEASE_LOST;
+        if (!lost) {
+            onCallFailed("renew", failure);
+            runtime.after(RETRY_MILLIS, () -> renew(held));
+            return;
+        }
+        if (!lease.equals(Optional.of(held))) {
+            return;
+        }
+        lease = Optional.empty();
+        for (Duty duty : List.copyOf(tenures.keySet())) {
+            lose(duty, "lease ended");
+        }
+        grant();
+    }
+
+    private void confirm(long askedNanos) {
+        confirmedNanos = Math.max(confirmedNanos, askedNanos);
+        if (storeLost) {
+            storeLost = false;
+            runtime.log().log(Event.DEPENDENCY_REGAINED, "dependency", "store");
+        }
+    }
+
+    private void onCallFailed(String call, Throwable failure) {
+        if (!storeLost) {
+            storeLost = true;
+            runtime.log().log(
+                    Event.DEPENDENCY_LOST,
+                    "dependency",
+                    "store",
+                    "call",
+                    call,
+                    "cause",
+                    failure.getMessage());
+        }
+    }
+
+    // The duties.
+
+    private void onEntries(Map<String, StoreEntry> now) {
+        entries = now;
+        Map<DaemonId, InetSocketAddress> found = new TreeMap<>();
+        Map<Duty, Holder> held = new TreeMap<>();
+        for (StoreEntry entry : now.values()) {
+            read(entry, found, held);
+        }
+        daemons = found;
+        holders = held;
+        listener.onDaemons(found);
+        for (Tenure tenure : List.copyOf(tenures.values())) {
+            Holder holder = held.get(tenure.duty());
+            if (holder != null && holder.revision > tenure.token()) {
+                lose(tenure.duty(), "taken by " + holder.daemon);
+            }
+        }
+        held.forEach(this::adopt);
+        claimMissing();
+    }
+
+    private void read(
+            StoreEntry entry, Map<DaemonId, InetSocketAddress> found, Map<Duty, Holder> held) {
+        try {
+            if (entry.key().startsWith(StoreKeys.DAEMONS)) {
+                String name = entry.key().substring(StoreKeys.DAEMONS.length());
+                StoredDaemon daemon = StoredDaemon.parseFrom(entry.value());
+                found.put(new DaemonId(name), Addresses.parse(daemon.getAddress()));
+            } else if (entry.key().startsWith(StoreKeys.HOLDERS)) {
+                String name = entry.key().substring(StoreKeys.HOLDERS.length());
+                StoredHolder holder = StoredHolder.parseFrom(entry.value());
+                held.put(
+                        new Duty(name),
+                        new Holder(
+                                new DaemonId(holder.getDaemon()),
+                                holder.getBoot(),
+                                entry.revision()));
+            }
+        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+            runtime.log().log(Event.RECORD_UNREADABLE, "key", entry.key(), "cause", e);
+        }
+    }
+
+    /** A claim whose answer was lost shows in the list of holders. */
+    private void adopt(Duty duty, Holder holder) {
+        boolean mine = holder.daemon.equals(self) && holder.boot.equals(boot.value());
+        if (mine && !tenures.containsKey(duty) && !lostTokens.contains(holder.revision)) {
+            gain(duty, holder.revision);
+        }
+    }
+
+    private void gain(Duty duty, long token) {
+        if (stopped || tenures.containsKey(duty) || lostTokens.contains(token)) {
+            return;
+        }
+        Tenure tenure = new Tenure(duty, StoreKeys.holder(duty), token, Math.max(1, term(duty)));
+        tenures.put(duty, tenure);
+        missingSince.remove(duty);
+        runtime.log().log(Event.DUTY_GAINED, "duty", duty, "token", token, "term", tenure.term());
+        listener.onGained(tenure);
+    }
+
+    private void claimMissing() {
+        if (stopped || !registered || lease.isEmpty()) {
+            return;
+        }
+        long now = runtime.clock().nanoTime();
+        if (now - registeredNanos < settleTime.toNanos()) {
+            return;
+        }
+        for (Duty duty : wanted) {
+            Holder holder = holders.get(duty);
+            boolean formerSelf =
+                    holder != null
+                            && holder.daemon.equals(self)
+                            && !holder.boot.equals(boot.value());
+            if (holder != null && !formerSelf || tenures.containsKey(duty)) {
+                missingSince.remove(duty);
+                continue;
+            }
+            long since = missingSince.computeIfAbsent(duty, d -> now);
+            long wait = formerSelf ? 0 : rank(duty) * RANK_MILLIS * NANOS_PER_MILLI;
+            if (now - since >= wait && claiming.add(duty)) {
+                claim(duty, formerSelf ? holder.revision : KeyValueStore.ABSENT);
+            }
+        }
+    }
+
+    /** Returns this daemon's place among those that may claim a duty, counted from 0. */
+    private int rank(Duty duty) {
+        Map<DaemonId, Integer> load = new HashMap<>();
+        holders.values().forEach(h -> load.merge(h.daemon, 1, Integer::sum));
+        List<DaemonId> ranked = new ArrayList<>(Rendezvous.ranked(duty.name(), daemons.keySet()));
+        ranked.sort(Comparator.comparingInt(d -> load.getOrDefault(d, 0)));
+        int place = ranked.indexOf(self);
+        return place < 0 ? ranked.size() : place;
+    }
+
+    private void claim(Duty duty, long expected) {
+        String key = StoreKeys.holder(duty);
+        String termKey = StoreKeys.term(duty);
+        StoreEntry termEntry = entries.get(termKey);
+        long termRevision = termEntry == null ? KeyValueStore.ABSENT : termEntry.revision();
+        byte[] holder =
+                StoredHolder.newBuilder()
+                        .setDaemon(self.value())
+                        .setBoot(boot.value())
+                        .build()
+                        .toByteArray();
+        byte[] term = StoredTerm.newBuilder().setTerm(term(duty) + 1).build().toByteArray();
+        StoreTransaction change =
+                StoreTransaction.builder()
+                        .expect(key, expected)
+                        .expect(termKey, termRevision)
+                        .put(key, holder, lease.orElseThrow())
+                        .put(termKey, term)
+                        .build();
+        long asked = runtime.clock().nanoTime();
+        runtime.store()
+                .commit(change)
+                .emitOn(runtime.loop())
+                .subscribe()
+                .with(
+                        r -> onClaimed(duty, r, asked, term),
+                        f -> {
+                            onCallFailed("claim " + duty, f);
+                            runtime.after(RETRY_MILLIS, () -> claiming.remove(duty));
+                        });
+    }
+
+    private void onClaimed(Duty duty, CommitResult result, long asked, byte[] term) {
+        claiming.remove(duty);
+        if (!result.applied()) {
+            result.current().values().forEach(watcher::written);
+            return;
+        }
+        confirm(asked);
+        watcher.written(new StoreEntry(StoreKeys.term(duty), result.revision(), term));
+        gain(duty, result.revision());
+    }
+
+    private long term(Duty duty) {
+        StoreEntry entry = entries.get(StoreKeys.term(duty));
+        if (entry == null) {
+            return 0;
+        }
+        try {
+            return StoredTerm.parseFrom(entry.value()).getTerm();
+        } catch (InvalidProtocolBufferException e) {
+            runtime.log().log(Event.RECORD_UNREADABLE, "key", entry.key(), "cause", e);
+            return 0;
+        }
+    }
+
+    /** Gets what changes of the duties and the daemons. */
+    interface Listener {
+        /** This daemon holds a duty from now on. */
+        void onGained(Tenure tenure);
+
+        /** This daemon no longer holds a duty. */
+        void onLost(Tenure tenure);
+
+        /** The daemons that run, with their addresses for each other. */
+        void onDaemons(Map<DaemonId, InetSocketAddress> daemons);
+    }
+
+    private record Holder(DaemonId daemon, String boot, long revision) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PeerCalls.java
@@ -0,0 +1,177 @@
+package org.crocusgrade.daemon.batch;
+
+import com.google.protobuf.ByteString;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.crocusgrade.core.id.BootId;
+import org.crocusgrade.core.id.DaemonId;
+import org.crocusgrade.core.id.QueueId;
+import org.crocusgrade.core.id.ServiceId;
+import org.crocusgrade.core.submission.SubmissionId;
+import org.crocusgrade.core.submission.SubmissionState;
+import org.crocusgrade.daemon.batch.SubmissionReply.Outcome;
+import org.crocusgrade.peer.FrameDropReason;
+import org.crocusgrade.peer.PeerException;
+import org.crocusgrade.peer.PeerKey;
+import org.crocusgrade.peer.PeerListener;
+import org.crocusgrade.peer.PeerNode;
+import org.crocusgrade.peer.proto.Envelope;
+import org.crocusgrade.peer.proto.EvacuationMessage;
+import org.crocusgrade.peer.proto.PoolStatusMessage;
+import org.crocusgrade.peer.proto.SubmissionCallMessage;
+import org.crocusgrade.peer.proto.SubmissionOperation;
+import org.crocusgrade.peer.proto.SubmissionReplyMessage;
+
+/**
+ * Calls between daemons. The link drops what it cannot send, so each call has a deadline; a call
+ * without an answer may have been carried out.
+ */
+final class PeerCalls implements PeerListener {
+    private final Runtime runtime;
+    private final Handler handler;
+    private final PeerNode node;
+    private final Map<Long, Consumer<SubmissionReply>> pending = new HashMap<>();
+    private final Set<DaemonId> known = new HashSet<>();
+    private long lastCall;
+
+    PeerCalls(Runtime runtime, DaemonId self, BootId boot, PeerKey key, Handler handler) {
+        this.runtime = runtime;
+        this.handler = handler;
+        this.node = new PeerNode(self, boot, key, this, 1);
+    }
+
+    InetSocketAddress start(InetSocketAddress listen) throws PeerException {
+        return node.start(listen);
+    }
+
+    void stop() {
+        node.stop();
+    }
+
+    void setDaemons(Map<DaemonId, InetSocketAddress> daemons) {
+        daemons.forEach(node::setAddress);
+        known.removeIf(
+                d -> {
+                    boolean gone = !daemons.containsKey(d);
+                    if (gone) {
+                        node.removePeer(d);
+                    }
+                    return gone;
+                });
+        known.addAll(daemons.keySet());
+    }
+
+    /** Calls another daemon; the reply says {@link Outcome#NO_ANSWER} if none comes in time. */
+    void call(DaemonId to, SubmissionCall call, Duration timeout, Consumer<SubmissionReply> reply) {
+        long number = ++lastCall;
+        pending.put(number, reply);
+        SubmissionCallMessage message =
+                SubmissionCallMessage.newBuilder()
+                        .setCall(number)
+                        .setService(call.service().value())
+                        .setOperation(SubmissionOperation.forNumber(call.operation().ordinal() + 1))
+                        .setQueue(call.queue().value())
+                        .setSubmission(call.submission().map(SubmissionId::value).orElse(""))
+                        .setBody(ByteString.copyFrom(call.body()))
+                        .setConfigVersion(call.configVersion())
+                        .build();
+        node.send(to, Envelope.newBuilder().setSubmissionCall(message).build());
+        runtime.after(timeout.toMillis(), () -> expire(number));
+    }
+
+    void send(DaemonId to, PoolStatusMessage status) {
+        node.send(to, Envelope.newBuilder().setPoolStatus(status).build());
+    }
+
+    void send(DaemonId to, EvacuationMessage evacuation) {
+        node.send(to, Envelope.newBuilder().setEvacuation(evacuation).build());
+    }
+
+    private void expire(long number) {
+        Consumer<SubmissionReply> reply = pending.remove(number);
+        if (reply != null) {
+            reply.accept(SubmissionReply.of(Outcome.NO_ANSWER, "owner gave no answer"));
+        }
+    }
+
+    @Override
+    public void onMessage(DaemonId from, BootId boot, Envelope message) {
+        runtime.loop().execute(() -> runtime.guard(() -> take(from, message)));
+    }
+
+    @Override
+    public void onDrop(FrameDropReason reason) {
+        // Calls have deadlines of their own, and status messages are repeated.
+    }
+
+    private void take(DaemonId from, Envelope message) {
+        switch (message.getBodyCase()) {
+            case SUBMISSION_CALL -> takeCall(from, message.getSubmissionCall());
+            case SUBMISSION_REPLY -> takeReply(message.getSubmissionReply());
+            case POOL_STATUS -> handler.onPoolStatus(from, message.getPoolStatus());
+            case EVACUATION -> handler.onEvacuation(message.getEvacuation());
+            default -> {
+                // Messages of the request path, which this program does not run.
+            }
+        }
+    }
+
+    private void takeCall(DaemonId from, SubmissionCallMessage message) {
+        SubmissionCall call =
+                new SubmissionCall(
+                        new ServiceId(message.getService()),
+                        SubmissionCall.Operation.values()[message.getOperationValue() - 1],
+                        new QueueId(message.getQueue()),
+                        Optional.of(message.getSubmission())
+                                .filter(SubmissionId::isId)
+                                .map(SubmissionId::new),
+                        message.getBody().toByteArray(),
+                        message.getConfigVersion());
+        handler.onCall(call, reply -> answer(from, message.getCall(), reply));
+    }
+
+    private void answer(DaemonId to, long number, SubmissionReply reply) {
+        SubmissionReplyMessage message =
+                SubmissionReplyMessage.newBuilder()
+                        .setCall(number)
+                        .setOutcome(reply.outcome().ordinal())
+                        .setState(reply.state().ordinal())
+                        .setPending(reply.pending())
+                        .setRetryAfterMs(Math.toIntExact(reply.retryAfter().toMillis()))
+                        .setReason(reply.reason())
+                        .build();
+        node.send(to, Envelope.newBuilder().setSubmissionReply(message).build());
+    }
+
+    private void takeReply(SubmissionReplyMessage message) {
+        Consumer<SubmissionReply> reply = pending.remove(message.getCall());
+        if (reply == null) {
+            return;
+        }
+        reply.accept(
+                new SubmissionReply(
+                        Outcome.values()[message.getOutcome()],
+                        SubmissionState.values()[message.getState()],
+                        message.getPending(),
+                        Duration.ofMillis(message.getRetryAfterMs()),
+                        message.getReason()));
+    }
+
+    /** Gets what other daemons ask and tell. */
+    interface Handler {
+        /** Another daemon passes a caller's request on. */
+        void onCall(SubmissionCall call, Consumer<SubmissionReply> reply);
+
+        /** The owner of a pool tells what it needs and has. */
+        void onPoolStatus(DaemonId from, PoolStatusMessage status);
+
+        /** The holder of the fleet's duty tells which workers to empty. */
+        void onEvacuation(EvacuationMessage evacuation);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolDesk.java
@@ -0,0 +1,235 @@
+package org.crocusgrade.daemon.batch;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.crocusgrade.core.config.QueueRoute;
+import org.crocusgrade.core.id.ServiceId;
+import org.crocusgrade.core.port.FormatException;
+import org.crocusgrade.core.schedule.PoolScheduler;
+import org.crocusgrade.core.schedule.TrackedSubmission;
+import org.crocusgrade.core.submission.SubmissionId;
+import org.crocusgrade.core.submission.SubmissionSpec;
+import org.crocusgrade.core.submission.SubmissionState;
+import org.crocusgrade.daemon.batch.RecordWriter.CreateResult;
+import org.crocusgrade.daemon.batch.SubmissionReply.Outcome;
+import org.crocusgrade.daemon.log.Event;
+
+/**
+ * Answers what callers ask of the owner of a pool. A submission is accepted, and an end or a cancel
+ * is told, only once the store has it.
+ */
+final class PoolDesk {
+    private final Runtime runtime;
+    private final ServiceId service;
+    private final QueueBook queues;
+    private final PoolScheduler scheduler;
+    private final RecordWriter writer;
+    private final Runnable planSoon;
+    private final Map<SubmissionId, List<Consumer<CreateResult>>> creating = new HashMap<>();
+    private final List<Awaiting> awaiting = new ArrayList<>();
+
+    PoolDesk(
+            Runtime runtime,
+            ServiceId service,
+            QueueBook queues,
+            PoolScheduler scheduler,
+            RecordWriter writer,
+            Runnable planSoon) {
+        this.runtime = runtime;
+        this.service = service;
+        this.queues = queues;
+        this.scheduler = scheduler;
+        this.writer = writer;
+        this.planSoon = planSoon;
+    }
+
+    void handle(SubmissionCall call, Consumer<SubmissionReply> reply) {
+        switch (call.operation()) {
+            case SUBMIT -> submit(call, reply);
+            case STATE -> reply.accept(state(call));
+            case CANCEL -> cancel(call, reply);
+            case COUNT -> reply.accept(SubmissionReply.counted(pending(call)));
+            default -> throw new IllegalStateException("operation " + call.operation());
+        }
+    }
+
+    private void submit(SubmissionCall call, Consumer<SubmissionReply> reply) {
+        SubmissionId id = call.submission().orElseThrow();
+        Optional<TrackedSubmission> held = scheduler.find(id);
+        if (held.isPresent()) {
+            reply.accept(SubmissionReply.done(held.get().visibleState()));
+            return;
+        }
+        List<Consumer<CreateResult>> waiting = creating.get(id);
+        if (waiting != null) {
+            waiting.add(r -> reply.accept(created(id, r)));
+            return;
+        }
+        Optional<QueueRoute> route = queues.table().queue(call.queue());
+        if (route.isEmpty()) {
+            refuse(id, reply, SubmissionReply.DEFAULT_RETRY, "queue not yet known");
+            return;
+        }
+        SubmissionSpec spec;
+        try {
+            spec = runtime.format().submission(call.body());
+        } catch (FormatException e) {
+            reply.accept(SubmissionReply.of(Outcome.INVALID, e.getMessage()));
+            return;
+        }
+        long now = runtime.clock().nanoTime();
+        Optional<Duration> retry = scheduler.refuse(route.get(), spec, now);
+        if (retry.isPresent()) {
+            refuse(id, reply, retry.get(), "backlog");
+            return;
+        }
+        store(id, route.get(), spec, call.body(), reply);
+    }
+
+    private void store(
+            SubmissionId id,
+            QueueRoute route,
+            SubmissionSpec spec,
+            byte[] body,
+            Consumer<SubmissionReply> reply) {
+        Instant wall = runtime.clock().now();
+        TrackedSubmission submission =
+                new TrackedSubmission(
+                        id,
+                        route.queue(),
+                        spec,
+                        route.maxAttempts(),
+                        wall,
+                        runtime.clock().nanoTime(),
+                        false);
+        byte[] record = Records.submission(service, route.queue(), wall, route.maxAttempts(), body);
+        List<Consumer<CreateResult>> waiting = new ArrayList<>(1);
+        waiting.add(r -> reply.accept(created(id, r)));
+        creating.put(id, waiting);
+        writer.create(submission, record, r -> onCreated(submission, r));
+    }
+
+    private void onCreated(TrackedSubmission submission, CreateResult result) {
+        if (result == CreateResult.CREATED && !writer.isStopped()) {
+            scheduler.add(submission);
+            runtime.log().log(
+                    Event.SUBMISSION_ACCEPTED,
+                    "id",
+                    submission.id(),
+                    "pool",
+                    service,
+                    "queue",
+                    submission.queue(),
+                    "steps",
+                    submission.spec().steps().size(),
+                    "backlog-core-ms",
+                    Math.round(scheduler.backlogCoreMillis()));
+            planSoon.run();
+        }
+        List<Consumer<CreateResult>> waiting = creating.remove(submission.id());
+        waiting.forEach(w -> w.accept(result));
+    }
+
+    private SubmissionReply created(SubmissionId id, CreateResult result) {
+        return switch (result) {
+            case CREATED -> SubmissionReply.done(SubmissionState.QUEUED);
+            case EXISTS -> SubmissionReply.done(SubmissionState.QUEUED);
+            case NOT_STORED -> {
+                log(Event.SUBMISSION_REFUSED, id, "store unavailable");
+                yield SubmissionReply.refused(SubmissionReply.DEFAULT_RETRY, "store unavailable");
+            }
+            case UNKNOWN -> SubmissionReply.of(Outcome.NO_ANSWER, "store gave no answer");
+        };
+    }
+
+    private void refuse(
+            SubmissionId id, Consumer<SubmissionReply> reply, Duration retry, String reason) {
+        runtime.log().log(
+                Event.SUBMISSION_REFUSED,
+                "id",
+                id,
+                "pool",
+                service,
+                "reason",
+                reason,
+                "retry-after-s",
+                retry.toSeconds(),
+                "backlog-core-ms",
+                Math.round(scheduler.backlogCoreMillis()),
+                "batch-cores",
+                Math.round(scheduler.batchCores(runtime.clock().nanoTime())));
+        reply.accept(SubmissionReply.refused(retry, reason));
+    }
+
+    private SubmissionReply state(SubmissionCall call) {
+        SubmissionId id = call.submission().orElseThrow();
+        if (creating.containsKey(id)) {
+            return SubmissionReply.of(Outcome.UNAVAILABLE, "being stored");
+        }
+        return scheduler
+                .find(id)
+                .map(s -> SubmissionReply.done(s.visibleState()))
+                .orElse(SubmissionReply.of(Outcome.UNKNOWN_SUBMISSION, "not known"));
+    }
+
+    private void cancel(SubmissionCall call, Consumer<SubmissionReply> reply) {
+        SubmissionId id = call.submission().orElseThrow();
+        List<Consumer<CreateResult>> waiting = creating.get(id);
+        if (waiting != null) {
+            waiting.add(r -> cancel(call, reply));
+            return;
+        }
+        Optional<TrackedSubmission> held = scheduler.find(id);
+        if (held.isEmpty()) {
+            reply.accept(SubmissionReply.of(Outcome.UNKNOWN_SUBMISSION, "not known"));
+            return;
+        }
+        TrackedSubmission submission = held.get();
+        scheduler.cancel(submission, runtime.clock().now());
+        planSoon.run();
+        afterStored(submission, () -> reply.accept(done(submission)));
+        writer.changed();
+    }
+
+    private static SubmissionReply done(TrackedSubmission submission) {
+        return SubmissionReply.done(submission.visibleState());
+    }
+
+    private int pending(SubmissionCall call) {
+        int count = 0;
+        for (TrackedSubmission submission : scheduler.submissions()) {
+            boolean waits = submission.visibleState() == SubmissionState.QUEUED;
+            if (waits && submission.queue().equals(call.queue())) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    private void afterStored(TrackedSubmission submission, Runnable then) {
+        if (submission.stored() >= submission.changes()) {
+            then.run();
+            return;
+        }
+        awaiting.add(new Awaiting(submission, submission.changes(), then));
+    }
+
+    /** Tells those who wait for a change that it is stored. */
+    void onWritten() {
+        List<Awaiting> ready = new ArrayList<>();
+        awaiting.removeIf(a -> a.submission.stored() >= a.change && ready.add(a));
+        ready.forEach(a -> a.then.run());
+    }
+
+    private void log(Event event, SubmissionId id, String reason) {
+        runtime.log().log(event, "id", id, "pool", service, "reason", reason);
+    }
+
+    private record Awaiting(TrackedSubmission submission, long change, Runnable then) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolLoader.java
@@ -0,0 +1,165 @@
+package org.crocusgrade.daemon.batch;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.crocusgrade.core.id.QueueId;
+import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.port.FormatException;
+import org.crocusgrade.core.port.HostControl.PooledHost;
+import org.crocusgrade.core.port.HostControl.State;
+import org.crocusgrade.core.port.StoreEntry;
+import org.crocusgrade.core.schedule.TrackedSubmission;
+import org.crocusgrade.core.submission.SubmissionId;
+import org.crocusgrade.daemon.log.Event;
+import org.crocusgrade.peer.proto.StoredProgress;
+import org.crocusgrade.peer.proto.StoredSubmission;
+
+/**
+ * Brings a new owner up to date: stored submissions and their progress, the registered workers, and
+ * the workers of the pool's hosts. All are read after the take-over, so that nothing which the last
+ * owner could still do is missed.
+ */
+final class PoolLoader {
+    private static final long RETRY_MILLIS = 200;
+
+    private final Runtime runtime;
+    private final PoolOwner owner;
+    private final WorkerRegistry registry;
+    private final Map<SubmissionId, StoredSubmission> submissions = new HashMap<>();
+
+    PoolLoader(Runtime runtime, PoolOwner owner, WorkerRegistry registry) {
+        this.runtime = runtime;
+        this.owner = owner;
+        this.registry = registry;
+    }
+
+    void start() {
+        if (owner.isStopped()) {
+            return;
+        }
+        runtime.store()
+                .list(StoreKeys.SUBMISSIONS)
+                .emitOn(runtime.loop())
+                .subscribe()
+                .with(e -> runtime.guard(() -> onSubmissions(e)), f -> retry("submissions", f));
+    }
+
+    private void retry(String what, Throwable failure) {
+        runtime.log().log(
+                Event.STORE_FAILED,
+                "pool",
+                owner.service(),
+                "reading",
+                what,
+                "cause",
+                failure.getMessage());
+        runtime.after(RETRY_MILLIS, this::start);
+    }
+
+    private void onSubmissions(List<StoreEntry> found) {
+        submissions.clear();
+        for (StoreEntry entry : found) {
+            try {
+                StoredSubmission stored = Records.readSubmission(entry.value());
+                if (stored.getService().equals(owner.service().value())) {
+                    String id = entry.key().substring(StoreKeys.SUBMISSIONS.length());
+                    submissions.put(new SubmissionId(id), stored);
+                }
+            } catch (FormatException | IllegalArgumentException e) {
+                unreadable(entry, e);
+            }
+        }
+        runtime.store()
+                .list(StoreKeys.PROGRESS)
+                .emitOn(runtime.loop())
+                .subscribe()
+                .with(e -> runtime.guard(() -> onProgress(e)), f -> retry("progress", f));
+    }
+
+    private void onProgress(List<StoreEntry> found) {
+        Map<SubmissionId, StoredProgress> progress = new HashMap<>();
+        Map<SubmissionId, Long> revisions = new HashMap<>();
+        for (StoreEntry entry : found) {
+            try {
+                String id = entry.key().substring(StoreKeys.PROGRESS.length());
+                SubmissionId submission = new SubmissionId(id);
+                if (submissions.containsKey(submission)) {
+                    progress.put(submission, Records.readProgress(entry.value()));
+                    revisions.put(submission, entry.revision());
+                }
+            } catch (FormatException | IllegalArgumentException e) {
+                unreadable(entry, e);
+            }
+        }
+        List<TrackedSubmission> tracked = new ArrayList<>();
+        for (Map.Entry<SubmissionId, StoredSubmission> stored : submissions.entrySet()) {
+            track(stored.getKey(), stored.getValue(), progress.get(stored.getKey()))
+                    .ifPresent(tracked::add);
+        }
+        registry.refresh(
+                () -> {
+                    owner.load(tracked, revisions);
+                    owner.onWorkers(registry.workers());
+                    readHosts();
+                },
+                f -> retry("workers", f));
+    }
+
+    private Optional<TrackedSubmission> track(
+            SubmissionId id, StoredSubmission stored, StoredProgress progress) {
+        Instant accepted = Instant.ofEpochMilli(stored.getAcceptedEpochMs());
+        Duration age = Duration.between(accepted, runtime.clock().now());
+        try {
+            TrackedSubmission submission =
+                    new TrackedSubmission(
+                            id,
+                            new QueueId(stored.getQueue()),
+                            runtime.format().submission(stored.getBody().toByteArray()),
+                            stored.getMaxAttempts(),
+                            accepted,
+                            runtime.clock().nanoTime() - Math.max(0, age.toNanos()),
+                            true);
+            if (progress != null) {
+                Records.restore(submission, progress);
+            }
+            return Optional.of(submission);
+        } catch (FormatException | IllegalArgumentException e) {
+            runtime.log().log(Event.RECORD_UNREADABLE, "id", id, "cause", e);
+            return Optional.empty();
+        }
+    }
+
+    private void readHosts() {
+        if (owner.isStopped() || owner.scheduler().isSettled()) {
+            return;
+        }
+        runtime.hosts()
+                .hosts()
+                .emitOn(runtime.loop())
+                .subscribe()
+                .with(
+                        h -> owner.onLivingWorkers(livingWorkers(h)),
+                        f -> runtime.after(RETRY_MILLIS, this::readHosts));
+    }
+
+    private Set<WorkerId> livingWorkers(List<PooledHost> hosts) {
+        Set<WorkerId> living = new HashSet<>();
+        for (PooledHost host : hosts) {
+            if (host.pool().equals(owner.service()) && host.state() == State.UP) {
+                host.worker().ifPresent(living::add);
+            }
+        }
+        return living;
+    }
+
+    private void unreadable(StoreEntry entry, Exception cause) {
+        runtime.log().log(Event.RECORD_UNREADABLE, "key", entry.key(), "cause", cause);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -0,0 +1,474 @@
+package org.crocusgrade.daemon.batch;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.crocusgrade.core.config.QueueRoute;
+import org.crocusgrade.core.id.ServiceId;
+import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.port.WorkerEntry;
+import org.crocusgrade.core.port.WorkerOrders.WorkerReport;
+import org.crocusgrade.core.schedule.Order;
+import org.crocusgrade.core.schedule.Placement;
+import org.crocusgrade.core.schedule.PoolScheduler;
+import org.crocusgrade.core.schedule.StartAnswer;
+import org.crocusgrade.core.schedule.TrackedSubmission;
+import org.crocusgrade.core.schedule.WorkerNode;
+import org.crocusgrade.core.submission.SubmissionId;
+import org.crocusgrade.core.submission.TaskEnd;
+import org.crocusgrade.daemon.batch.SubmissionReply.Outcome;
+import org.crocusgrade.daemon.log.Event;
+import org.crocusgrade.peer.proto.PoolStatusMessage;
+
+/**
+ * Owns one pool: takes its submissions, schedules them, and alone orders its workers.
+ *
+ * <p>Why two owners cannot run a task twice: the new owner's token is the revision of its key, so
+ * it is higher than the old one's. Before it starts a task that an old owner may have started, each
+ * worker has either answered a call with the new token, and so listed its runs and refuses the old
+ * owner from then on, or had the time in which every lease that the old owner may have granted runs
+ * out. Tasks accepted by the new owner itself need not wait.
+ */
+final class PoolOwner implements WorkerSession.Listener, RecordWriter.Listener {
+    /** How long leases are extended without a sign that the duty is still held. */
+    static final Duration EXTEND_WITHOUT_STORE = Duration.ofSeconds(5);
+
+    /** How long after a take-over a lease of the last owner may live at most. */
+    private static final Duration OLD_LEASES = EXTEND_WITHOUT_STORE.plusMillis(5700);
+
+    /** The pause between an event and the plan that answers it, in milliseconds. */
+    private static final long PLAN_PAUSE_MILLIS = 3;
+
+    private final Runtime runtime;
+    private final ServiceId service;
+    private final Tenure tenure;
+    private final QueueBook queues;
+    private final DutyView duty;
+    private final Consumer<String> onRightLost;
+    private final PoolScheduler scheduler;
+    private final RecordWriter writer;
+    private final Map<WorkerId, WorkerSession> sessions = new HashMap<>();
+    private final PoolDesk desk;
+    private final long tookOverNanos;
+    private Set<WorkerId> evacuating = Set.of();
+    private Optional<Set<WorkerId>> livingWorkers = Optional.empty();
+    private boolean loaded;
+    private boolean planDue;
+    private boolean stopped;
+    private long statusSequence;
+
+    PoolOwner(
+            Runtime runtime,
+            ServiceId service,
+            Tenure tenure,
+            QueueBook queues,
+            DutyView duty,
+            Consumer<String> onRightLost) {
+        this.runtime = runtime;
+        this.service = service;
+        this.tenure = tenure;
+        this.queues = queues;
+        this.duty = duty;
+        this.onRightLost = onRightLost;
+        scheduler = new PoolScheduler(tenure.term(), this::route);
+        writer = new RecordWriter(runtime, service, tenure, scheduler.dirty(), this);
+        desk = new PoolDesk(runtime, service, queues, scheduler, writer, this::planSoon);
+        tookOverNanos = runtime.clock().nanoTime();
+    }
+
+    ServiceId service() {
+        return service;
+    }
+
+    PoolScheduler scheduler() {
+        return scheduler;
+    }
+
+    boolean isLoaded() {
+        return loaded;
+    }
+
+    /** Takes what earlier owners have stored, and the workers that were registered after that. */
+    void load(List<TrackedSubmission> stored, Map<SubmissionId, Long> revisions) {
+        stored.forEach(scheduler::add);
+        revisions.forEach(writer::restore);
+        loaded = true;
+    }
+
+    /** Ends the tenure: orders nothing and writes nothing any more. */
+    void stop() {
+        stopped = true;
+        writer.stop();
+        sessions.values().forEach(WorkerSession::close);
+    }
+
+    boolean isStopped() {
+        return stopped;
+    }
+
+    /** Returns what the holder of the fleet's duty needs to know. */
+    PoolStatusMessage status() {
+        long now = runtime.clock().nanoTime();
+        PoolStatusMessage.Builder status =
+                PoolStatusMessage.newBuilder()
+                        .setService(service.value())
+                        .setSequence(++statusSequence)
+                        .setWaitingMilliCores(
+                                scheduler.waitingMilliCores(now, runtime.clock().now()));
+        for (WorkerSession session : sessions.values()) {
+            status.addWorkers(session.status());
+        }
+        return status.build();
+    }
+
+    /** Returns whether all that ended is stored. */
+    boolean isIdle() {
+        return writer.isIdle();
+    }
+
+    /** Takes the workers that are registered, of all pools. */
+    void onWorkers(Map<WorkerId, WorkerEntry> registered) {
+        if (!loaded || stopped) {
+            return;
+        }
+        for (WorkerEntry entry : registered.values()) {
+            if (entry.service().equals(service)) {
+                onWorker(entry);
+            }
+        }
+        for (WorkerSession session : sessions.values()) {
+            WorkerEntry entry = registered.get(session.node().id());
+            session.setRegistered(entry != null && entry.service().equals(service));
+        }
+        planSoon();
+    }
+
+    private void onWorker(WorkerEntry entry) {
+        WorkerSession held = sessions.get(entry.worker());
+        if (held != null && held.node().born() != entry.born() && entry.born() > 0) {
+            onDead(held, "registered again");
+            held = null;
+        }
+        if (held == null) {
+            held = open(entry);
+        }
+        held.setDraining(entry.draining(), entry.remaining());
+    }
+
+    private WorkerSession open(WorkerEntry entry) {
+        WorkerNode node =
+                new WorkerNode(
+                        entry.worker(),
+                        entry.host(),
+                        entry.born(),
+                        entry.zone(),
+                        entry.rack(),
+                        Set.copyOf(entry.labels()),
+                        entry.capacity());
+        node.setEvacuating(evacuating.contains(entry.worker()));
+        WorkerSession session = new WorkerSession(runtime, node, entry, tenure.token(), this);
+        sessions.put(entry.worker(), session);
+        scheduler.addWorker(node);
+        runtime.log().log(
+                Event.WORKER_JOINED,
+                "pool",
+                service,
+                "worker",
+                entry.worker(),
+                "born",
+                entry.born(),
+                "cores",
+                entry.capacity().milliCores());
+        session.start();
+        return session;
+    }
+
+    /** Sets which workers are to be emptied. */
+    void evacuate(Set<WorkerId> workers) {
+        evacuating = workers;
+        for (WorkerSession session : sessions.values()) {
+            session.node().setEvacuating(workers.contains(session.node().id()));
+        }
+        planSoon();
+    }
+
+    /** Does what time brings: lapsed leases, due retries, expired records. */
+    void tick() {
+        if (!loaded || stopped) {
+            return;
+        }
+        settle();
+        for (WorkerSession session : List.copyOf(sessions.values())) {
+            if (session.hasLapsed()) {
+                onLapsed(session);
+            }
+        }
+        planSoon();
+    }
+
+    /** Deletes the records of what nobody may ask for any more. */
+    void sweep() {
+        Instant now = runtime.clock().now();
+        for (TrackedSubmission submission : List.copyOf(scheduler.submissions())) {
+            if (writer.isExpired(submission, now)) {
+                scheduler.forget(submission);
+                writer.expire(submission);
+            }
+        }
+        writer.changed();
+    }
+
+    private void settle() {
+        if (scheduler.isSettled()) {
+            return;
+        }
+        boolean inherited =
+                scheduler.submissions().stream()
+                        .anyMatch(s -> s.isInherited() && !s.outcome().isFinal());
+        boolean fenced = isAllFenced();
+        long age = runtime.clock().nanoTime() - tookOverNanos;
+        if (!inherited || fenced || age > OLD_LEASES.toNanos()) {
+            scheduler.setSettled();
+            runtime.log().log(
+                    Event.POOL_SETTLED,
+                    "pool",
+                    service,
+                    "fenced",
+                    fenced,
+                    "after-ms",
+                    Duration.ofNanos(age).toMillis(),
+                    "submissions",
+                    scheduler.submissions().size());
+        }
+    }
+
+    /** Returns whether each worker that may run something of an earlier owner has been asked. */
+    private boolean isAllFenced() {
+        if (livingWorkers.isEmpty()) {
+            return false;
+        }
+        boolean registeredFenced = sessions.values().stream().allMatch(WorkerSession::isFenced);
+        return registeredFenced
+                && livingWorkers.get().stream()
+                        .allMatch(w -> sessions.containsKey(w) && sessions.get(w).isFenced());
+    }
+
+    /** Takes the workers of the pool's hosts that are up, read after the take-over. */
+    void onLivingWorkers(Set<WorkerId> workers) {
+        livingWorkers = Optional.of(workers);
+    }
+
+    private void onLapsed(WorkerSession session) {
+        WorkerNode node = session.node();
+        if (!node.placements().isEmpty()) {
+            runtime.log().log(
+                    Event.WORKER_LAPSED,
+                    "pool",
+                    service,
+                    "worker",
+                    node.id(),
+                    "runs",
+                    node.placements().size());
+            scheduler.clearRuns(node);
+        }
+        if (!session.isRegistered()) {
+            close(session, "silent and no longer registered");
+        }
+    }
+
+    private void close(WorkerSession session, String reason) {
+        session.close();
+        sessions.remove(session.node().id(), session);
+        scheduler.workerDied(session.node());
+        runtime.log().log(
+                Event.WORKER_GONE,
+                "pool",
+                service,
+                "worker",
+                session.node().id(),
+                "reason",
+                reason);
+        planSoon();
+    }
+
+    void handle(SubmissionCall call, Consumer<SubmissionReply> reply) {
+        if (stopped) {
+            reply.accept(SubmissionReply.of(Outcome.NOT_OWNER, "stopped"));
+            return;
+        }
+        if (!loaded) {
+            reply.accept(SubmissionReply.of(Outcome.UNAVAILABLE, "taking over"));
+            return;
+        }
+        desk.handle(call, reply);
+    }
+
+    @Override
+    public void onWritten() {
+        desk.onWritten();
+    }
+
+    @Override
+    public void onExpired(TrackedSubmission submission) {
+        scheduler.forget(submission);
+    }
+
+    @Override
+    public void onRightLost(String reason) {
+        if (!stopped) {
+            onRightLost.accept(reason);
+        }
+    }
+
+    // What workers say.
+
+    @Override
+    public boolean mayExtend() {
+        return duty.isConfirmedWithin(EXTEND_WITHOUT_STORE);
+    }
+
+    @Override
+    public void onReport(WorkerSession session, long askedNanos, WorkerReport report) {
+        long now = runtime.clock().nanoTime();
+        Instant wall = runtime.clock().now();
+        scheduler.onReport(session.node(), askedNanos, report.running(), report.ends(), now, wall);
+        logEnds(session, report.ends());
+        writer.changed();
+        planSoon();
+    }
+
+    private final Map<WorkerNode, Long> loggedEnds = new HashMap<>();
+
+    private void logEnds(WorkerSession session, List<TaskEnd> ends) {
+        long logged = loggedEnds.getOrDefault(session.node(), 0L);
+        for (TaskEnd end : ends) {
+            if (end.number() <= logged) {
+                continue;
+            }
+            logged = end.number();
+            runtime.log().log(
+                    Event.RUN_ENDED,
+                    "task",
+                    end.task(),
+                    "run",
+                    end.run(),
+                    "worker",
+                    session.node().id(),
+                    "how",
+                    end.how());
+        }
+        loggedEnds.put(session.node(), logged);
+    }
+
+    @Override
+    public void onStartAnswer(
+            WorkerSession session, Placement placement, StartAnswer answer, String detail) {
+        if (stopped) {
+            return;
+        }
+        if (answer != StartAnswer.STARTED) {
+            runtime.log().log(
+                    Event.RUN_NOT_STARTED,
+                    "task",
+                    placement.task().id(),
+                    "run",
+                    placement.run(),
+                    "worker",
+                    session.node().id(),
+                    "answer",
+                    answer,
+                    "detail",
+                    detail);
+        }
+        scheduler.onStartAnswer(placement, answer, runtime.clock().nanoTime());
+        planSoon();
+    }
+
+    @Override
+    public void onStopAnswer(Placement placement, boolean answered) {
+        scheduler.onStopAnswer(placement, answered, runtime.clock().nanoTime());
+    }
+
+    @Override
+    public void onFencedOff(WorkerSession session) {
+        onRightLost("worker " + session.node().id() + " has seen a higher token");
+    }
+
+    @Override
+    public void onDead(WorkerSession session, String reason) {
+        close(session, reason);
+    }
+
+    // What is decided.
+
+    private void planSoon() {
+        if (planDue || stopped || !loaded) {
+            return;
+        }
+        planDue = true;
+        runtime.after(PLAN_PAUSE_MILLIS, this::plan);
+    }
+
+    private void plan() {
+        planDue = false;
+        if (stopped) {
+            return;
+        }
+        long now = runtime.clock().nanoTime();
+        boolean mayStart = duty.isConfirmedWithin(EXTEND_WITHOUT_STORE);
+        if (!mayStart) {
+            return;
+        }
+        for (Order order : scheduler.plan(now, runtime.clock().now())) {
+            WorkerSession session = sessions.get(order.worker().id());
+            if (session != null && session.node() == order.worker()) {
+                logOrder(order);
+                session.send(order);
+            }
+        }
+        writer.changed();
+    }
+
+    private void logOrder(Order order) {
+        if (order instanceof Order.Start start) {
+            Placement placement = start.placement();
+            runtime.log().log(
+                    Event.RUN_ORDERED,
+                    "task",
+                    placement.task().id(),
+                    "run",
+                    placement.run(),
+                    "worker",
+                    order.worker().id(),
+                    "free",
+                    order.worker().free().milliCores(),
+                    "config",
+                    queues.table().version());
+        } else if (order instanceof Order.Stop stop) {
+            runtime.log().log(
+                    Event.RUN_STOPPED,
+                    "task",
+                    stop.task(),
+                    "run",
+                    stop.run(),
+                    "worker",
+                    order.worker().id());
+        }
+    }
+
+    private QueueRoute route(TrackedSubmission submission) {
+        return queues.lastKnown(submission.queue())
+                .orElseGet(() -> QueueBook.unknownQueue(submission.queue(), service));
+    }
+
+    /** What an owner knows of the duty. */
+    interface DutyView {
+        /** Returns whether the store has confirmed the duty within a time. */
+        boolean isConfirmedWithin(Duration age);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordWriter.java
@@ -0,0 +1,338 @@
+package org.crocusgrade.daemon.batch;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.crocusgrade.core.id.ServiceId;
+import org.crocusgrade.core.port.CommitResult;
+import org.crocusgrade.core.port.KeyValueStore;
+import org.crocusgrade.core.port.StoreEntry;
+import org.crocusgrade.core.port.StoreException;
+import org.crocusgrade.core.port.StoreTransaction;
+import org.crocusgrade.core.schedule.TrackedSubmission;
+import org.crocusgrade.core.submission.SubmissionId;
+import org.crocusgrade.core.submission.SubmissionState;
+import org.crocusgrade.daemon.log.Event;
+
+/**
+ * Writes a pool's records in groups, one transaction at a time.
+ *
+ * <p>Each transaction demands that the owner's key still has the owner's revision, so a deposed
+ * owner can neither accept a submission nor change its progress. Each record demands its own last
+ * revision, so a write whose answer was lost cannot take effect after a newer one. An answer that
+ * was lost is resolved by writing again: if the first write took effect, the second is refused with
+ * the entry as it is, which then equals what was to be written.
+ */
+final class RecordWriter {
+    /** How long progress that nobody waits for is gathered, in milliseconds. */
+    private static final long GATHER_MILLIS = 300;
+
+    /** The pause after a failed transaction, in milliseconds. */
+    private static final long RETRY_MILLIS = 150;
+
+    /** How long after its retention a record is deleted at the earliest. */
+    private static final Duration RETENTION_MARGIN = Duration.ofSeconds(10);
+
+    private static final int ENTRIES_PER_RECORD = 2;
+
+    private final Runtime runtime;
+    private final ServiceId service;
+    private final Tenure tenure;
+    private final Set<TrackedSubmission> dirty;
+    private final Listener listener;
+    private final Deque<Creation> creations = new ArrayDeque<>();
+    private final Deque<TrackedSubmission> expired = new ArrayDeque<>();
+    private final Map<SubmissionId, Long> revisions = new HashMap<>();
+    private boolean inFlight;
+    private boolean stopped;
+    private boolean gathering;
+    private boolean failing;
+
+    RecordWriter(
+            Runtime runtime,
+            ServiceId service,
+            Tenure tenure,
+            Set<TrackedSubmission> dirty,
+            Listener listener) {
+        this.runtime = runtime;
+        this.service = service;
+        this.tenure = tenure;
+        this.dirty = dirty;
+        this.listener = listener;
+    }
+
+    /** Takes the revision of a progress record as it was read. */
+    void restore(SubmissionId id, long revision) {
+        revisions.put(id, revision);
+    }
+
+    /** Stores a new submission. */
+    void create(TrackedSubmission submission, byte[] record, Consumer<CreateResult> done) {
+        creations.add(new Creation(submission, record, done));
+        flush();
+    }
+
+    /** Stores the changes that are due; those that nobody waits for are gathered for a while. */
+    void changed() {
+        boolean urgent = dirty.stream().anyMatch(s -> s.outcome().isFinal());
+        if (urgent) {
+            flush();
+            return;
+        }
+        if (!gathering && !dirty.isEmpty()) {
+            gathering = true;
+            runtime.after(GATHER_MILLIS, this::endGathering);
+        }
+    }
+
+    /** Deletes the records of a submission that nobody may ask for any more. */
+    void expire(TrackedSubmission submission) {
+        expired.add(submission);
+    }
+
+    boolean isStopped() {
+        return stopped;
+    }
+
+    /** Returns whether the last transaction failed. */
+    boolean isFailing() {
+        return failing;
+    }
+
+    /** Returns whether nothing waits to be written. */
+    boolean isIdle() {
+        return !inFlight && creations.isEmpty() && dirty.isEmpty();
+    }
+
+    /** Writes nothing any more; what waits is told that nobody knows. */
+    void stop() {
+        stopped = true;
+        List<Creation> open = new ArrayList<>(creations);
+        creations.clear();
+        for (Creation creation : open) {
+            boolean untouched = !creation.attempted;
+            creation.done.accept(untouched ? CreateResult.NOT_STORED : CreateResult.UNKNOWN);
+        }
+    }
+
+    private void endGathering() {
+        gathering = false;
+        flush();
+    }
+
+    private void flush() {
+        if (inFlight || stopped) {
+            return;
+        }
+        Batch batch = nextBatch();
+        if (batch.isEmpty()) {
+            return;
+        }
+        inFlight = true;
+        runtime.store()
+                .commit(batch.change.build())
+                .emitOn(runtime.loop())
+                .subscribe()
+                .with(r -> onAnswer(batch, r), f -> onFailure(batch, f));
+    }
+
+    private Batch nextBatch() {
+        Batch batch = new Batch();
+        batch.change.expect(tenure.key(), tenure.token());
+        while (!creations.isEmpty() && batch.change.room() >= ENTRIES_PER_RECORD) {
+            batch.add(creations.remove());
+        }
+        addProgress(batch, true);
+        addProgress(batch, false);
+        while (!expired.isEmpty() && batch.change.room() >= ENTRIES_PER_RECORD) {
+            TrackedSubmission old = expired.remove();
+            batch.change.delete(StoreKeys.submission(old.id()));
+            batch.change.delete(StoreKeys.progress(old.id()));
+            batch.expired.add(old);
+        }
+        return batch;
+    }
+
+    private void addProgress(Batch batch, boolean ended) {
+        for (TrackedSubmission submission : dirty) {
+            if (batch.change.room() < ENTRIES_PER_RECORD) {
+                return;
+            }
+            if (submission.outcome().isFinal() == ended) {
+                long revision = revisions.getOrDefault(submission.id(), KeyValueStore.ABSENT);
+                batch.add(submission, revision, Records.progress(service, submission));
+            }
+        }
+    }
+
+    private void onAnswer(Batch batch, CommitResult result) {
+        inFlight = false;
+        failing = false;
+        if (stopped) {
+            batch.creations.forEach(c -> c.done.accept(settle(result)));
+            return;
+        }
+        if (result.applied()) {
+            onApplied(batch, result.revision());
+        } else {
+            onConflict(batch, result);
+        }
+        listener.onWritten();
+        flush();
+    }
+
+    private static CreateResult settle(CommitResult result) {
+        return result.applied() ? CreateResult.CREATED : CreateResult.UNKNOWN;
+    }
+
+    private void onApplied(Batch batch, long revision) {
+        for (Progress progress : batch.progress) {
+            TrackedSubmission submission = progress.submission;
+            revisions.put(submission.id(), revision);
+            submission.setStored(progress.change, progress.state);
+            if (submission.changes() == progress.change) {
+                dirty.remove(submission);
+            }
+        }
+        for (TrackedSubmission old : batch.expired) {
+            revisions.remove(old.id());
+            listener.onExpired(old);
+        }
+        batch.creations.forEach(c -> c.done.accept(CreateResult.CREATED));
+    }
+
+    private void onConflict(Batch batch, CommitResult result) {
+        if (result.currentRevision(tenure.key()) != tenure.token()) {
+            batch.creations.forEach(
+                    c ->
+                            c.done.accept(
+                                    c.attempted ? CreateResult.UNKNOWN : CreateResult.NOT_STORED));
+            listener.onRightLost("the store names another holder");
+            return;
+        }
+        for (Progress progress : batch.progress) {
+            SubmissionId id = progress.submission.id();
+            revisions.put(id, result.currentRevision(StoreKeys.progress(id)));
+        }
+        expired.addAll(batch.expired);
+        for (Creation creation : batch.creations) {
+            StoreEntry found = result.current().get(creation.key());
+            if (found == null) {
+                creations.addFirst(creation);
+                continue;
+            }
+            boolean own = Arrays.equals(found.value(), creation.record);
+            creation.done.accept(own ? CreateResult.CREATED : CreateResult.EXISTS);
+        }
+    }
+
+    private void onFailure(Batch batch, Throwable failure) {
+        inFlight = false;
+        failing = true;
+        boolean untouched =
+                failure instanceof StoreException e && e.kind() != StoreException.Kind.ANSWER_LOST;
+        runtime.log().log(
+                Event.STORE_FAILED,
+                "pool",
+                service,
+                "records",
+                batch.creations.size() + batch.progress.size(),
+                "written",
+                untouched ? "no" : "unknown",
+                "cause",
+                failure.getMessage());
+        expired.addAll(batch.expired);
+        for (Creation creation : batch.creations) {
+            if (stopped || untouched && !creation.attempted) {
+                creation.done.accept(untouched ? CreateResult.NOT_STORED : CreateResult.UNKNOWN);
+                continue;
+            }
+            creation.attempted |= !untouched;
+            creations.addLast(creation);
+        }
+        runtime.after(RETRY_MILLIS, this::flush);
+    }
+
+    /** Returns whether a submission's records may be deleted. */
+    boolean isExpired(TrackedSubmission submission, Instant now) {
+        Duration kept = runtime.limits().statusRetention().plus(RETENTION_MARGIN);
+        return submission.visibleState().isFinal()
+                && submission.ended().map(t -> t.plus(kept).isBefore(now)).orElse(false);
+    }
+
+    /** Gets what the writer learns. */
+    interface Listener {
+        /** Some records are stored. */
+        void onWritten();
+
+        /** A submission's records are deleted. */
+        void onExpired(TrackedSubmission submission);
+
+        /** Another daemon holds the duty, or may take it. */
+        void onRightLost(String reason);
+    }
+
+    /** What became of a new record. */
+    enum CreateResult {
+        /** It is stored. */
+        CREATED,
+        /** There is another one of that name. */
+        EXISTS,
+        /** It is not stored and never will be. */
+        NOT_STORED,
+        /** It may be stored. */
+        UNKNOWN
+    }
+
+    private static final class Creation {
+        private final TrackedSubmission submission;
+        private final byte[] record;
+        private final Consumer<CreateResult> done;
+        private boolean attempted;
+
+        Creation(TrackedSubmission submission, byte[] record, Consumer<CreateResult> done) {
+            this.submission = submission;
+            this.record = record;
+            this.done = done;
+        }
+
+        String key() {
+            return StoreKeys.submission(submission.id());
+        }
+    }
+
+    private record Progress(TrackedSubmission submission, long change, SubmissionState state) {}
+
+    /** One transaction and what it is made of. */
+    private static final class Batch {
+        private final StoreTransaction.Builder change = StoreTransaction.builder();
+        private final List<Creation> creations = new ArrayList<>();
+        private final List<Progress> progress = new ArrayList<>();
+        private final List<TrackedSubmission> expired = new ArrayList<>();
+
+        void add(Creation creation) {
+            change.expect(creation.key(), KeyValueStore.ABSENT);
+            change.put(creation.key(), creation.record);
+            creations.add(creation);
+        }
+
+        void add(TrackedSubmission submission, long revision, byte[] record) {
+            String key = StoreKeys.progress(submission.id());
+            change.expect(key, revision);
+            change.put(key, record);
+            progress.add(new Progress(submission, submission.changes(), submission.outcome()));
+        }
+
+        boolean isEmpty() {
+            return creations.isEmpty() && progress.isEmpty() && expired.isEmpty();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/Records.java
@@ -0,0 +1,123 @@
+package org.crocusgrade.daemon.batch;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Instant;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Optional;
+import org.crocusgrade.core.id.QueueId;
+import org.crocusgrade.core.id.ServiceId;
+import org.crocusgrade.core.port.FormatException;
+import org.crocusgrade.core.schedule.StepRun;
+import org.crocusgrade.core.schedule.Task;
+import org.crocusgrade.core.schedule.TrackedSubmission;
+import org.crocusgrade.core.submission.StepId;
+import org.crocusgrade.core.submission.SubmissionId;
+import org.crocusgrade.core.submission.SubmissionState;
+import org.crocusgrade.core.submission.TaskId;
+import org.crocusgrade.peer.proto.StoredProgress;
+import org.crocusgrade.peer.proto.StoredStep;
+import org.crocusgrade.peer.proto.StoredSubmission;
+import org.crocusgrade.peer.proto.StoredTask;
+
+/** Reads and writes what is kept of submissions in the platform's store. */
+final class Records {
+    private Records() {}
+
+    static byte[] submission(
+            ServiceId service, QueueId queue, Instant accepted, int maxAttempts, byte[] body) {
+        return StoredSubmission.newBuilder()
+                .setService(service.value())
+                .setQueue(queue.value())
+                .setAcceptedEpochMs(accepted.toEpochMilli())
+                .setMaxAttempts(maxAttempts)
+                .setBody(ByteString.copyFrom(body))
+                .build()
+                .toByteArray();
+    }
+
+    static StoredSubmission readSubmission(byte[] value) throws FormatException {
+        try {
+            return StoredSubmission.parseFrom(value);
+        } catch (InvalidProtocolBufferException e) {
+            throw new FormatException("not a stored submission", e);
+        }
+    }
+
+    static StoredProgress readProgress(byte[] value) throws FormatException {
+        try {
+            return StoredProgress.parseFrom(value);
+        } catch (InvalidProtocolBufferException e) {
+            throw new FormatException("not a stored progress", e);
+        }
+    }
+
+    static byte[] progress(ServiceId service, TrackedSubmission submission) {
+        StoredProgress.Builder record =
+                StoredProgress.newBuilder()
+                        .setService(service.value())
+                        .setState(submission.outcome().ordinal())
+                        .setBegun(submission.hasBegun());
+        submission.ended().ifPresent(t -> record.setFinalEpochMs(t.toEpochMilli()));
+        if (submission.outcome().isFinal()) {
+            return record.build().toByteArray();
+        }
+        for (List<StepRun> steps : submission.occurrences()) {
+            for (StepRun step : steps) {
+                addStep(record, step);
+            }
+        }
+        return record.build().toByteArray();
+    }
+
+    /** Brings a submission to where its stored progress has come. */
+    static void restore(TrackedSubmission submission, StoredProgress record) {
+        SubmissionId id = submission.id();
+        for (StoredStep stored : record.getStepsList()) {
+            BitSet done = BitSet.valueOf(stored.getDone().toByteArray());
+            StepId step = new StepId(id, (int) stored.getOccurrence(), stored.getStep());
+            for (int i = done.nextSetBit(0); i >= 0; i = done.nextSetBit(i + 1)) {
+                submission
+                        .task(new TaskId(step, i))
+                        .ifPresent(t -> submission.complete(t.step(), t));
+            }
+        }
+        for (StoredTask stored : record.getTasksList()) {
+            StepId step = new StepId(id, (int) stored.getOccurrence(), stored.getStep());
+            submission
+                    .task(new TaskId(step, stored.getIndex()))
+                    .ifPresent(t -> t.restore(stored.getFailedRunsList(), stored.getCheckpoint()));
+        }
+        Optional<Instant> ended =
+                record.getFinalEpochMs() == 0
+                        ? Optional.empty()
+                        : Optional.of(Instant.ofEpochMilli(record.getFinalEpochMs()));
+        submission.restore(SubmissionState.values()[record.getState()], ended, record.getBegun());
+    }
+
+    private static void addStep(StoredProgress.Builder record, StepRun step) {
+        BitSet done = new BitSet(step.tasks().size());
+        for (Task task : step.tasks()) {
+            done.set(task.id().index(), task.isDone());
+            boolean plain = task.failedRuns().isEmpty() && task.checkpoint().isEmpty();
+            if (task.isDone() || plain) {
+                continue;
+            }
+            record.addTasks(
+                    StoredTask.newBuilder()
+                            .setOccurrence(step.id().occurrence())
+                            .setStep(step.id().step())
+                            .setIndex(task.id().index())
+                            .addAllFailedRuns(task.failedRuns())
+                            .setCheckpoint(task.checkpoint()));
+        }
+        if (!done.isEmpty()) {
+            record.addSteps(
+                    StoredStep.newBuilder()
+                            .setOccurrence(step.id().occurrence())
+                            .setStep(step.id().step())
+                            .setDone(ByteString.copyFrom(done.toByteArray())));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerRegistry.java
@@ -0,0 +1,96 @@
+package org.crocusgrade.daemon.batch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.port.FormatException;
+import org.crocusgrade.core.port.StoreEntry;
+import org.crocusgrade.core.port.WorkerEntry;
+import org.crocusgrade.daemon.control.PrefixWatcher;
+import org.crocusgrade.daemon.log.Event;
+
+/**
+ * The workers that are registered in the platform's store, followed by one watch while this daemon
+ * owns a pool. Registrations change with each heartbeat, so the watch rests between changes.
+ */
+final class WorkerRegistry {
+    /** The rest between watches: a small part of the time in which a draining worker is left. */
+    private static final Duration REST = Duration.ofMillis(600);
+
+    private final Runtime runtime;
+    private final PrefixWatcher watcher;
+    private final Runnable onChange;
+    private final Map<String, Long> unreadable = new HashMap<>();
+    private Map<WorkerId, WorkerEntry> workers = Map.of();
+    private boolean following;
+
+    WorkerRegistry(Runtime runtime, Runnable onChange) {
+        this.runtime = runtime;
+        this.onChange = onChange;
+        watcher =
+                new PrefixWatcher(
+                        runtime.store(),
+                        runtime.format().workerPrefix(),
+                        runtime.loop(),
+                        REST,
+                        e -> runtime.guard(() -> onEntries(e.values())));
+    }
+
+    /** Follows the list, or stops to. */
+    void follow(boolean wanted) {
+        if (wanted == following) {
+            return;
+        }
+        following = wanted;
+        if (wanted) {
+            watcher.start();
+        } else {
+            watcher.stop();
+        }
+    }
+
+    Map<WorkerId, WorkerEntry> workers() {
+        return workers;
+    }
+
+    /** Reads the list anew, so that what is known is no older than the call. */
+    void refresh(Runnable then, Consumer<Throwable> onFailure) {
+        runtime.store()
+                .list(runtime.format().workerPrefix())
+                .emitOn(runtime.loop())
+                .subscribe()
+                .with(
+                        entries ->
+                                runtime.guard(
+                                        () -> {
+                                            onEntries(entries);
+                                            then.run();
+                                        }),
+                        onFailure);
+    }
+
+    private void onEntries(Collection<StoreEntry> entries) {
+        Map<WorkerId, WorkerEntry> found = new HashMap<>();
+        List<StoreEntry> bad = new ArrayList<>();
+        for (StoreEntry entry : entries) {
+            try {
+                WorkerEntry worker = runtime.format().worker(entry);
+                found.put(worker.worker(), worker);
+            } catch (FormatException e) {
+                bad.add(entry);
+                if (!Long.valueOf(entry.revision()).equals(unreadable.get(entry.key()))) {
+                    runtime.log().log(Event.RECORD_UNREADABLE, "key", entry.key(), "cause", e);
+                }
+            }
+        }
+        unreadable.clear();
+        bad.forEach(e -> unreadable.put(e.key(), e.revision()));
+        workers = Map.copyOf(found);
+        onChange.run();
+    }
+}
--- a/daemon/src/main/java/org/crocusgrade/daemon/control/PrefixWatcher.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/control/PrefixWatcher.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.ScheduledExecutorService;
@@ -26,6 +25,7 @@
 
     private final KeyValueStore store;
     private final String prefix;
+    private final Duration rest;
     private final ScheduledExecutorService executor;
     private final Consumer<Map<String, StoreEntry>> listener;
     private final Map<String, StoreEntry> entries = new HashMap<>();
@@ -33,12 +33,28 @@
     private int failures;
     private boolean stopped;
 
-    /** Makes a watcher; {@link #start} makes it read. */
+    /** Makes a watcher that takes each change at once; {@link #start} makes it read. */
     public PrefixWatcher(
             KeyValueStore store,
             String prefix,
             ScheduledExecutorService executor,
             Consumer<Map<String, StoreEntry>> listener) {
+        this(store, prefix, executor, Duration.ZERO, listener);
+    }
+
+    /**
+     * Makes a watcher; {@link #start} makes it read.
+     *
+     * @param rest the pause after a change before the next watch, so that busy prefixes cost few
+     *     calls
+     */
+    public PrefixWatcher(
+            KeyValueStore store,
+            String prefix,
+            ScheduledExecutorService executor,
+            Duration rest,
+            Consumer<Map<String, StoreEntry>> listener) {
+        this.rest = Objects.requireNonNull(rest);
         this.store = Objects.requireNonNull(store);
         this.prefix = Objects.requireNonNull(prefix);
         this.executor = Objects.requireNonNull(executor);
@@ -47,7 +63,11 @@
 
     /** Starts to read and watch. */
     public void start() {
-        executor.execute(this::list);
+        executor.execute(
+                () -> {
+                    stopped = false;
+                    list();
+                });
     }
 
     /** Ends the watch; the listener is not called again. */
@@ -68,16 +88,16 @@
         if (stopped) {
             return;
         }
-        store.list(prefix).emitOn(executor).subscribe().with(this::onList, this::onFailure);
+        store.snapshot(prefix).emitOn(executor).subscribe().with(this::onList, this::onFailure);
     }
 
-    private void onList(List<StoreEntry> found) {
+    private void onList(WatchResult found) {
         failures = 0;
         entries.clear();
-        for (StoreEntry entry : found) {
+        for (StoreEntry entry : found.changed()) {
             entries.put(entry.key(), entry);
-            revision = Math.max(revision, entry.revision());
         }
+        revision = Math.max(revision, found.revision());
         publish();
         watch();
     }
@@ -108,7 +128,11 @@
         if (changed) {
             publish();
         }
-        watch();
+        if (rest.isZero()) {
+            watch();
+            return;
+        }
+        executor.schedule(this::watch, rest.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void publish() {
