Move hosts after the queues' turns, park idle ones; count maintenance that the list does not show

Change: a balancer that gives hosts to pools that lack them, ahead of a surge once the turns are learned; owners tell what arrives, runs and waits. Hosts whose maintenance was ordered after the list was asked for count as away.

--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolNeed.java
@@ -0,0 +1,18 @@
+package org.crocusgrade.core.fleet.plan;
+
+import java.util.Objects;
+import org.crocusgrade.core.id.ServiceId;
+
+/**
+ * What the owner of a pool tells of it.
+ *
+ * @param pool the pool
+ * @param wantedCores processors that runs take or that startable tasks wait for
+ * @param waitingCores the part of them that tasks wait for
+ */
+public record PoolNeed(ServiceId pool, double wantedCores, double waitingCores) {
+    /** Checks the fields. */
+    public PoolNeed {
+        Objects.requireNonNull(pool);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/TurnForecast.java
@@ -0,0 +1,107 @@
+package org.crocusgrade.core.fleet.plan;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.crocusgrade.core.id.ServiceId;
+
+/**
+ * Forecasts which pool surges next when pools surge in turns, from few surges.
+ *
+ * <p>The lag between the starts of two surges in a row is much the same for all pools, so it is
+ * learned from all of them together. Which pool comes next is known from the last time that the
+ * latest one surged; before that, a single pool that has not surged yet is the one left. Worked
+ * case: a starts at 0 s, b at 4.5 s, c at 9 s, and d has not surged: d is forecast for 13.5 s. When
+ * a starts at 18 s, b is forecast for 22.5 s.
+ */
+public final class TurnForecast {
+    /** A start that has not come this long after its time is given up, in seconds. */
+    private static final double OVERDUE_SECONDS = 1.5;
+
+    private final Map<ServiceId, SurgeHistory> pools = new HashMap<>();
+    private final Map<ServiceId, ServiceId> followers = new HashMap<>();
+    private final RecentValues lags = new RecentValues();
+    private Optional<ServiceId> latest = Optional.empty();
+    private double latestStart = Double.NaN;
+
+    /**
+     * Takes what a pool is asked for.
+     *
+     * @param at the time, in seconds from any origin
+     * @param cores the work that arrives, in core-seconds a second
+     */
+    public void observe(ServiceId pool, double at, double cores) {
+        SurgeHistory history = pools.computeIfAbsent(pool, p -> new SurgeHistory());
+        if (!history.observe(at, cores)) {
+            return;
+        }
+        double start = history.start();
+        if (latest.isPresent() && !latest.get().equals(pool) && start > latestStart) {
+            lags.add(start - latestStart);
+            followers.put(latest.get(), pool);
+        }
+        latest = Optional.of(pool);
+        latestStart = start;
+    }
+
+    /** Returns whether a pool surges now. */
+    public boolean isSurging(ServiceId pool) {
+        SurgeHistory history = pools.get(pool);
+        return history != null && history.surging();
+    }
+
+    /** Returns how long a surge is still expected to last, in seconds; 0 if there is none. */
+    public double surgeLeft(ServiceId pool, double now) {
+        if (!isSurging(pool)) {
+            return 0;
+        }
+        double length = lags.size() > 0 ? lags.median() : Double.POSITIVE_INFINITY;
+        return Math.max(0, pools.get(pool).start() + length - now);
+    }
+
+    /** Returns what a pool is asked for in a surge, in cores; of another pool if need be. */
+    public double peak(ServiceId pool) {
+        SurgeHistory history = pools.get(pool);
+        double own = history == null ? Double.NaN : history.peak();
+        if (!Double.isNaN(own)) {
+            return own;
+        }
+        double other = latest.map(p -> pools.get(p).peak()).orElse(Double.NaN);
+        return Double.isNaN(other) ? 0 : other;
+    }
+
+    /** Returns the pool that surges next and when, if that can be told. */
+    public Optional<Next> next(double now) {
+        if (latest.isEmpty() || lags.size() == 0) {
+            return Optional.empty();
+        }
+        double start = latestStart + lags.median();
+        if (now - start > OVERDUE_SECONDS) {
+            return Optional.empty();
+        }
+        Optional<ServiceId> pool = Optional.ofNullable(followers.get(latest.get()));
+        return pool.or(this::onlyOneLeft).map(p -> new Next(p, start - now));
+    }
+
+    private Optional<ServiceId> onlyOneLeft() {
+        ServiceId left = null;
+        for (Map.Entry<ServiceId, SurgeHistory> entry : pools.entrySet()) {
+            if (!Double.isNaN(entry.getValue().start())) {
+                continue;
+            }
+            if (left != null) {
+                return Optional.empty();
+            }
+            left = entry.getKey();
+        }
+        return Optional.ofNullable(left);
+    }
+
+    /**
+     * The next surge.
+     *
+     * @param pool whose it is
+     * @param inSeconds the time until it starts; negative when it is overdue
+     */
+    public record Next(ServiceId pool, double inSeconds) {}
+}
--- a/core/src/main/java/org/crocusgrade/core/maintenance/WaveSchedule.java
+++ b/core/src/main/java/org/crocusgrade/core/maintenance/WaveSchedule.java
@@ -41,6 +41,8 @@
      * @param left the time until all must be done; negative when it has passed
      * @param hosts all hosts of the fleet, by name
      * @param done the hosts of the wave whose maintenance has begun
+     * @param unseen hosts whose maintenance was ordered after the list of hosts was asked for, or
+     *     whose order has no answer yet; the list says nothing of them
      * @param pressure processors that tasks wait for, by pool, in thousandths of a core
      */
     public static Decision decide(
@@ -48,6 +50,7 @@
             Duration left,
             Map<HostId, HostView> hosts,
             Set<HostId> done,
+            Set<HostId> unseen,
             Map<ServiceId, Long> pressure) {
         int away = 0;
         List<HostView> open = new ArrayList<>();
@@ -58,12 +61,12 @@
                 continue;
             }
             boolean maintained = done.contains(host);
-            if (maintained && view.state() != State.UP) {
+            if (unseen.contains(host) || view.state() == State.MAINTENANCE) {
                 away++;
             }
             if (!maintained) {
                 waiting++;
-                if (view.state() == State.UP) {
+                if (view.state() == State.UP && !unseen.contains(host)) {
                     open.add(view);
                 }
             }
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -36,6 +36,7 @@
     private final ReportIntake intake;
     private final StopPlanner stops;
     private final StartPlanner starts;
+    private final ArrivalMeter arrivals = new ArrivalMeter();
 
     /**
      * Makes a scheduler without submissions and workers.
@@ -162,6 +163,9 @@
     /** Decides whether a submission is taken; else returns how long its caller should wait. */
     public Optional<Duration> refuse(QueueRoute route, SubmissionSpec spec, long now) {
         double own = outlook.coreMillis(route.queue(), spec);
+        if (!spec.isLongRunning()) {
+            arrivals.add(now, own);
+        }
         double ahead = 0;
         for (TrackedSubmission other : pool.active()) {
             if (other.spec().isLongRunning()) {
@@ -191,6 +195,20 @@
         return (double) Math.max(0, milli) / MILLI;
     }
 
+    /** Returns the work that arrives, in thousandths of a core. */
+    public long offeredMilliCores(long now) {
+        return arrivals.milliCores(now);
+    }
+
+    /** Returns the processors that runs take, in thousandths of a core. */
+    public long usedMilliCores() {
+        long sum = 0;
+        for (WorkerNode worker : pool.workers().values()) {
+            sum += worker.capacity().minus(worker.free()).milliCores();
+        }
+        return sum;
+    }
+
     /** Returns the processors that startable tasks wait for, in thousandths of a core. */
     public long waitingMilliCores(long now, Instant wall) {
         long sum = 0;
--- /dev/null
+++ b/core/src/test/java/org/crocusgrade/core/fleet/plan/PoolBalancerTest.java
@@ -0,0 +1,123 @@
+package org.crocusgrade.core.fleet.plan;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.crocusgrade.core.id.HostId;
+import org.crocusgrade.core.id.ServiceId;
+import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.maintenance.HostView;
+import org.crocusgrade.core.port.HostControl.State;
+import org.junit.jupiter.api.Test;
+
+/** Hosts follow what queues ask for; those with long-running tasks stay. */
+class PoolBalancerTest {
+    private static final ServiceId HOT = new ServiceId("hot");
+    private static final ServiceId CALM = new ServiceId("calm");
+    private static final ServiceId STANDBY = new ServiceId("standby");
+
+    private final PoolBalancer balancer = new PoolBalancer(new TurnForecast());
+    private final List<HostView> hosts = new ArrayList<>();
+    private final Map<ServiceId, PoolNeed> needs = new HashMap<>();
+
+    @Test
+    void aPoolThatLacksHostsGetsThemFromStandbyFirst() {
+        add("s", STANDBY, 2, 0, 0);
+        add("c", CALM, 4, 0, 0);
+        add("h", HOT, 2, 4, 0);
+        need(HOT, 64 + 60);
+        need(CALM, 5);
+        List<PoolBalancer.Move> moves = decideRested();
+        assertThat(moves, hasSize(2));
+        assertThat(names(moves), everyItem(startsWith("s")));
+    }
+
+    @Test
+    void hostsWithLongRunningTasksStay() {
+        add("c", CALM, 4, 2, 2);
+        add("h", HOT, 2, 4, 0);
+        need(HOT, 300);
+        need(CALM, 5);
+        assertThat(decideRested(), empty());
+    }
+
+    @Test
+    void theGiverKeepsWhatItNeeds() {
+        add("c", CALM, 4, 0, 0);
+        add("h", HOT, 2, 4, 0);
+        need(HOT, 300);
+        need(CALM, 60);
+        assertThat(decideRested(), hasSize(1));
+    }
+
+    @Test
+    void hostsOnTheirWayCount() {
+        add("s", STANDBY, 3, 0, 0);
+        add("h", HOT, 2, 4, 0);
+        need(HOT, 64 + 60);
+        assertThat(balancer.decide(10, hosts, needs, Map.of(HOT, 2)).moves(), empty());
+    }
+
+    @Test
+    void aPoolWithoutAnOwnersWordIsLeftAlone() {
+        add("c", CALM, 4, 0, 0);
+        add("h", HOT, 2, 4, 0);
+        need(HOT, 300);
+        assertThat(decideRested(), empty());
+    }
+
+    @Test
+    void idleHostsGoToStandbyAfterAWhile() {
+        add("s", STANDBY, 1, 0, 0);
+        add("c", CALM, 4, 0, 0);
+        need(CALM, 1);
+        assertThat(balancer.decide(0, hosts, needs, Map.of()).moves(), empty());
+        List<PoolBalancer.Move> moves = balancer.decide(10, hosts, needs, Map.of()).moves();
+        assertThat(moves, not(empty()));
+        assertThat(moves.get(0).to(), is(STANDBY));
+        assertThat(moves, hasSize(3));
+    }
+
+    private List<PoolBalancer.Move> decideRested() {
+        balancer.decide(0, hosts, Map.of(), Map.of());
+        return balancer.decide(3, hosts, needs, Map.of()).moves();
+    }
+
+    private static List<String> names(List<PoolBalancer.Move> moves) {
+        return moves.stream().map(m -> m.host().value()).toList();
+    }
+
+    private void need(ServiceId pool, double cores) {
+        needs.put(pool, new PoolNeed(pool, cores, 0));
+    }
+
+    private void add(String prefix, ServiceId pool, int count, int running, int longRunning) {
+        for (int i = 0; i < count; i++) {
+            String name = prefix + i;
+            boolean standby = pool.equals(STANDBY);
+            hosts.add(
+                    new HostView(
+                            new HostId(name),
+                            pool,
+                            Optional.of(new WorkerId("w" + name)),
+                            State.UP,
+                            Optional.of("r1"),
+                            32_000,
+                            standby,
+                            !standby,
+                            false,
+                            running,
+                            longRunning));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/crocusgrade/core/fleet/plan/TurnForecastTest.java
@@ -0,0 +1,69 @@
+package org.crocusgrade.core.fleet.plan;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import java.util.Optional;
+import org.crocusgrade.core.id.ServiceId;
+import org.junit.jupiter.api.Test;
+
+/** Four pools that surge in turns of 4.5 s each. */
+class TurnForecastTest {
+    private static final double TURN = 4.5;
+    private static final List<ServiceId> POOLS =
+            List.of(new ServiceId("a"), new ServiceId("b"), new ServiceId("c"), new ServiceId("d"));
+
+    private final TurnForecast forecast = new TurnForecast();
+
+    @Test
+    void nothingIsForecastBeforeTwoSurges() {
+        play(TURN * 0.9);
+        assertThat(forecast.next(TURN * 0.9), is(Optional.empty()));
+    }
+
+    @Test
+    void theOnePoolThatHasNotSurgedComesNext() {
+        double now = TURN * 2 + 1;
+        play(now);
+        TurnForecast.Next next = forecast.next(now).orElseThrow();
+        assertThat(next.pool(), is(POOLS.get(3)));
+        assertThat(next.inSeconds(), closeTo(TURN - 1, 0.5));
+    }
+
+    @Test
+    void inTheSecondRoundTheOrderOfTheFirstIsKnown() {
+        double now = TURN * 4 + 1;
+        play(now);
+        TurnForecast.Next next = forecast.next(now).orElseThrow();
+        assertThat(next.pool(), is(POOLS.get(1)));
+        assertThat(next.inSeconds(), closeTo(TURN - 1, 0.5));
+        assertThat(forecast.isSurging(POOLS.get(0)), is(true));
+        assertThat(forecast.surgeLeft(POOLS.get(0), now), closeTo(TURN - 1, 0.5));
+    }
+
+    @Test
+    void aSurgeThatDoesNotComeIsGivenUp() {
+        double now = TURN * 4 + 1;
+        play(now);
+        assertThat(forecast.next(now + 2 * TURN), is(Optional.empty()));
+    }
+
+    private void play(double until) {
+        for (double at = -3; at < until; at += 0.1) {
+            for (int i = 0; i < POOLS.size(); i++) {
+                double round = at % (TURN * POOLS.size());
+                boolean peak = at >= 0 && round >= i * TURN && round < (i + 1) * TURN;
+                forecast.observe(POOLS.get(i), at, peak ? 400 : 5);
+            }
+        }
+        for (int i = 0; i < POOLS.size(); i++) {
+            forecast.observe(POOLS.get(i), until, i == turn(until) ? 400 : 5);
+        }
+    }
+
+    private static int turn(double at) {
+        return (int) (at / TURN) % POOLS.size();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/crocusgrade/core/schedule/CapacityPropertyTest.java
@@ -0,0 +1,69 @@
+package org.crocusgrade.core.schedule;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.crocusgrade.core.submission.TaskEnd;
+import org.crocusgrade.core.submission.TaskEnd.How;
+import org.crocusgrade.core.submission.TaskId;
+
+/** Random sessions of one pool: no worker is overfull, and no task has two runs. */
+class CapacityPropertyTest {
+    private static final int ROUNDS = 60;
+
+    @Property(tries = 60)
+    void noWorkerIsOverfullAndNoTaskRunsTwice(@ForAll long seed) {
+        Random random = new Random(seed);
+        Pool pool = Pool.settled();
+        Map<WorkerNode, Long> ends = new HashMap<>();
+        for (int i = 0; i < 3; i++) {
+            ends.put(pool.worker("w" + i, "r" + i), 0L);
+        }
+        for (int round = 0; round < ROUNDS; round++) {
+            pool.submit(false, Pool.step(1 + random.nextInt(8), 500 + random.nextInt(9000)));
+            for (Placement placement : pool.starts()) {
+                pool.answer(placement, answer(random));
+            }
+            check(pool);
+            for (WorkerNode worker : ends.keySet()) {
+                long first = ends.get(worker);
+                List<TaskEnd> some = new ArrayList<>();
+                for (Placement placement : worker.placements()) {
+                    if (placement.phase() == Placement.Phase.RUNNING && random.nextInt(3) == 0) {
+                        How how = random.nextInt(8) == 0 ? How.FAILED : How.DONE;
+                        some.add(Pool.end(++first, placement, how));
+                    }
+                }
+                ends.put(worker, first);
+                pool.report(worker, some.toArray(new TaskEnd[0]));
+            }
+            check(pool);
+        }
+    }
+
+    private static StartAnswer answer(Random random) {
+        return switch (random.nextInt(10)) {
+            case 0 -> StartAnswer.UNKNOWN;
+            case 1 -> StartAnswer.NO_ROOM;
+            default -> StartAnswer.STARTED;
+        };
+    }
+
+    private static void check(Pool pool) {
+        Map<TaskId, Integer> runs = new HashMap<>();
+        for (WorkerNode worker : pool.scheduler.workers()) {
+            assertThat(worker.free().milliCores(), greaterThanOrEqualTo(0L));
+            assertThat(worker.free().memoryMb(), greaterThanOrEqualTo(0L));
+            worker.placements().forEach(p -> runs.merge(p.task().id(), 1, Integer::sum));
+        }
+        runs.values().forEach(n -> assertThat(n, is(1)));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/crocusgrade/core/schedule/Pool.java
@@ -0,0 +1,167 @@
+package org.crocusgrade.core.schedule;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.crocusgrade.core.config.QueueRoute;
+import org.crocusgrade.core.id.HostId;
+import org.crocusgrade.core.id.QueueId;
+import org.crocusgrade.core.id.ServiceId;
+import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.submission.Resources;
+import org.crocusgrade.core.submission.StepSpec;
+import org.crocusgrade.core.submission.SubmissionId;
+import org.crocusgrade.core.submission.SubmissionSpec;
+import org.crocusgrade.core.submission.TaskEnd;
+import org.crocusgrade.core.submission.TaskEnd.How;
+import org.crocusgrade.core.submission.TaskRun;
+
+/** A pool under test, on a clock of its own. */
+final class Pool {
+    static final ServiceId SERVICE = new ServiceId("quotes");
+    static final QueueId QUEUE = new QueueId("quote");
+    static final Resources HOST = new Resources(32_000, 131_072, 0);
+    static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+
+    final PoolScheduler scheduler;
+    private long now = 1_000_000_000L;
+    private int submissions;
+
+    Pool(long term) {
+        QueueRoute route =
+                new QueueRoute(
+                        QUEUE,
+                        "host",
+                        "/q/",
+                        SERVICE,
+                        0,
+                        3,
+                        1.6,
+                        Duration.ofMillis(600),
+                        Duration.ofSeconds(3),
+                        Optional.empty());
+        scheduler = new PoolScheduler(term, s -> route);
+    }
+
+    static Pool settled() {
+        Pool pool = new Pool(1);
+        pool.scheduler.setSettled();
+        return pool;
+    }
+
+    void advance(Duration time) {
+        now += time.toNanos();
+    }
+
+    long now() {
+        return now;
+    }
+
+    Instant wall() {
+        return START.plusNanos(now);
+    }
+
+    WorkerNode worker(String name, String rack) {
+        WorkerNode node =
+                new WorkerNode(
+                        new WorkerId(name),
+                        Optional.of(new HostId("m-" + name)),
+                        1,
+                        "zone",
+                        Optional.of(rack),
+                        Set.of("a", rack),
+                        HOST);
+        node.setUsable(true);
+        scheduler.addWorker(node);
+        return node;
+    }
+
+    TrackedSubmission submit(boolean inherited, StepSpec... steps) {
+        SubmissionId id = new SubmissionId(String.format("%016x", ++submissions));
+        TrackedSubmission submission =
+                new TrackedSubmission(
+                        id,
+                        QUEUE,
+                        new SubmissionSpec("payload", List.of(steps), Optional.empty()),
+                        3,
+                        wall(),
+                        now,
+                        inherited);
+        scheduler.add(submission);
+        return submission;
+    }
+
+    List<Order> plan() {
+        now += 1_000_000;
+        return scheduler.plan(now, wall());
+    }
+
+    List<Placement> starts() {
+        List<Placement> starts = new ArrayList<>();
+        for (Order order : plan()) {
+            if (order instanceof Order.Start start) {
+                starts.add(start.placement());
+            }
+        }
+        return starts;
+    }
+
+    List<Order.Stop> stops() {
+        List<Order.Stop> stops = new ArrayList<>();
+        for (Order order : plan()) {
+            if (order instanceof Order.Stop stop) {
+                stops.add(stop);
+            }
+        }
+        return stops;
+    }
+
+    /** Starts all that can start; every worker takes every order. */
+    List<Placement> startAll() {
+        List<Placement> starts = starts();
+        starts.forEach(p -> answer(p, StartAnswer.STARTED));
+        return starts;
+    }
+
+    void answer(Placement placement, StartAnswer answer) {
+        now += 1_000_000;
+        scheduler.onStartAnswer(placement, answer, now);
+    }
+
+    /** The worker lists what this pool believes to run there, each fully at work, and ends. */
+    void report(WorkerNode worker, TaskEnd... ends) {
+        List<TaskRun> running = new ArrayList<>();
+        for (Placement placement : worker.placements()) {
+            boolean ended = false;
+            for (TaskEnd end : ends) {
+                ended |= end.task().equals(placement.task().id()) && end.run() == placement.run();
+            }
+            if (!ended) {
+                running.add(run(placement));
+            }
+        }
+        list(worker, running, ends);
+    }
+
+    void list(WorkerNode worker, List<TaskRun> running, TaskEnd... ends) {
+        now += 1_000_000;
+        long asked = now;
+        now += 1_000_000;
+        scheduler.onReport(worker, asked, running, List.of(ends), now, wall());
+    }
+
+    static TaskRun run(Placement placement) {
+        return new TaskRun(placement.task().id(), placement.run(), "", 100, 0);
+    }
+
+    static TaskEnd end(long number, Placement placement, How how) {
+        return new TaskEnd(number, placement.task().id(), placement.run(), how, "");
+    }
+
+    static StepSpec step(int tasks, int milliCores, Integer... after) {
+        return new StepBuilder(tasks, milliCores).after(after).build();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/crocusgrade/core/schedule/StepBuilder.java
@@ -0,0 +1,82 @@
+package org.crocusgrade.core.schedule;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.crocusgrade.core.submission.Resources;
+import org.crocusgrade.core.submission.StepSpec;
+
+/** Builds steps for tests. */
+final class StepBuilder {
+    private final int tasks;
+    private final int milliCores;
+    private List<Integer> after = List.of();
+    private boolean gang;
+    private Optional<String> label = Optional.empty();
+    private int maxPerWorker;
+    private boolean longRunning;
+    private boolean opportunistic;
+    private int maxUnavailable;
+    private Duration estimate = Duration.ofSeconds(1);
+
+    StepBuilder(int tasks, int milliCores) {
+        this.tasks = tasks;
+        this.milliCores = milliCores;
+    }
+
+    StepBuilder after(Integer... steps) {
+        after = List.of(steps);
+        return this;
+    }
+
+    StepBuilder gang() {
+        gang = true;
+        return this;
+    }
+
+    StepBuilder label(String wanted) {
+        label = Optional.of(wanted);
+        return this;
+    }
+
+    StepBuilder maxPerWorker(int limit) {
+        maxPerWorker = limit;
+        return this;
+    }
+
+    StepBuilder longRunning(int mayBeAway) {
+        longRunning = true;
+        maxUnavailable = mayBeAway;
+        return this;
+    }
+
+    StepBuilder opportunistic() {
+        opportunistic = true;
+        return this;
+    }
+
+    StepBuilder estimate(Duration time) {
+        estimate = time;
+        return this;
+    }
+
+    StepSpec build() {
+        return new StepSpec(
+                tasks,
+                new Resources(milliCores, 1024, 0),
+                estimate,
+                after,
+                gang,
+                false,
+                label,
+                Optional.empty(),
+                maxPerWorker,
+                false,
+                false,
+                longRunning,
+                Optional.empty(),
+                Optional.empty(),
+                opportunistic,
+                maxUnavailable);
+    }
+}
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetHolder.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetHolder.java
@@ -1,6 +1,5 @@
 package org.crocusgrade.daemon.batch;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -9,37 +8,33 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.function.Consumer;
+import org.crocusgrade.core.fleet.plan.PoolBalancer;
+import org.crocusgrade.core.fleet.plan.PoolNeed;
+import org.crocusgrade.core.fleet.plan.TurnForecast;
 import org.crocusgrade.core.id.DaemonId;
 import org.crocusgrade.core.id.HostId;
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.maintenance.HostView;
-import org.crocusgrade.core.maintenance.WaveRequest;
-import org.crocusgrade.core.maintenance.WaveSchedule;
 import org.crocusgrade.core.port.CommitResult;
-import org.crocusgrade.core.port.FormatException;
-import org.crocusgrade.core.port.HostControl.Outcome;
 import org.crocusgrade.core.port.HostControl.PooledHost;
 import org.crocusgrade.core.port.HostControl.Right;
 import org.crocusgrade.core.port.StoreEntry;
-import org.crocusgrade.core.port.StoreTransaction;
 import org.crocusgrade.daemon.log.Event;
 import org.crocusgrade.peer.proto.EvacuationMessage;
 import org.crocusgrade.peer.proto.PoolStatusMessage;
 import org.crocusgrade.peer.proto.WorkerStatusMessage;
 
 /**
- * Holds the fleet's duty: carries out maintenance waves.
+ * Holds the fleet's duty: moves hosts between pools and carries out waves of maintenance.
  *
  * <p>Workers' hosts do not check tokens, so the duty itself must keep holders apart: a new holder
  * waits until the last one's lease and the platform's turn have passed, and before each round of
  * orders the store must still name this holder. A host is ordered about only when its pool's owner
  * has said that it is empty and stays so.
  */
-final class FleetHolder {
+final class FleetHolder implements FleetRight {
     /** The time between looks at the hosts while something is to do, in milliseconds. */
     private static final long BUSY_LOOK_MILLIS = 500;
 
@@ -53,21 +48,25 @@
     private static final Duration FORMER_LEASE = Duration.ofMillis(500);
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double MILLI = 1000;
 
     private final Runtime runtime;
     private final DaemonId self;
     private final Consumer<EvacuationMessage> evacuations;
     private final Map<ServiceId, PoolStatus> pools = new HashMap<>();
-    private final Map<Integer, Wave> waves = new TreeMap<>();
+    private final TurnForecast forecast = new TurnForecast();
+    private final WaveRunner waves;
+    private final HostMover mover;
     private Map<HostId, PooledHost> hosts = Map.of();
     private Set<ServiceId> standbyPools = Set.of();
     private Set<HostId> evacuating = Set.of();
     private Set<ServiceId> toldPools = Set.of();
-    private final Set<HostId> ordering = new HashSet<>();
     private Optional<Tenure> tenure = Optional.empty();
     private DutyKeeper duties;
     private long gainedNanos;
     private long lookedNanos;
+    private long viewedNanos;
     private long toldNanos;
     private boolean looking;
     private boolean checking;
@@ -77,6 +76,8 @@
         this.runtime = runtime;
         this.self = self;
         this.evacuations = evacuations;
+        waves = new WaveRunner(runtime, this);
+        mover = new HostMover(runtime, this, new PoolBalancer(forecast));
     }
 
     void gain(Tenure gained, DutyKeeper keeper) {
@@ -84,10 +85,8 @@
         duties = keeper;
         gainedNanos = runtime.clock().nanoTime();
         hosts = Map.of();
-        ordering.clear();
-        for (Wave wave : waves.values()) {
-            wave.restore(keeper.entries().get(StoreKeys.wave(wave.request.wave())));
-        }
+        waves.begin(keeper.entries());
+        mover.begin();
     }
 
     void lose() {
@@ -100,23 +99,7 @@
     }
 
     void onOperatorEntries(Map<String, StoreEntry> entries) {
-        for (StoreEntry entry : entries.values()) {
-            if (runtime.format().isWave(entry.key())) {
-                onWave(entry);
-            }
-        }
-    }
-
-    private void onWave(StoreEntry entry) {
-        try {
-            WaveRequest request = runtime.format().wave(entry);
-            Wave wave = new Wave(request, runtime.clock().nanoTime());
-            if (waves.putIfAbsent(request.wave(), wave) == null && duties != null) {
-                wave.restore(duties.entries().get(StoreKeys.wave(request.wave())));
-            }
-        } catch (FormatException e) {
-            runtime.log().log(Event.RECORD_UNREADABLE, "key", entry.key(), "cause", e);
-        }
+        waves.onOperatorEntries(entries, duties == null ? Map.of() : duties.entries());
     }
 
     void onPoolStatus(PoolStatusMessage status) {
@@ -129,48 +112,52 @@
         if (tenure.isEmpty()) {
             return;
         }
-        boolean busy = waves.values().stream().anyMatch(w -> !w.closed);
-        if (!busy) {
-            tellEvacuations(Set.of());
-            return;
-        }
+        double now = seconds();
+        pools.forEach((pool, status) -> observe(pool, status, now));
         look();
         if (hosts.isEmpty()) {
             return;
         }
         Map<HostId, HostView> views = views();
+        Map<ServiceId, Long> pressure = new HashMap<>();
+        pools.forEach((pool, s) -> pressure.put(pool, s.message.getWaitingMilliCores()));
         Set<HostId> evacuate = new HashSet<>();
         List<Runnable> orders = new ArrayList<>();
-        for (Wave wave : waves.values()) {
-            if (!wave.closed) {
-                decide(wave, views, evacuate, orders);
-            }
-        }
+        waves.decide(views, viewedNanos, pressure, evacuate, orders);
+        mover.decide(now, views, needs(), evacuate, orders);
         tellEvacuations(evacuate);
         carryOut(orders);
     }
 
-    private void decide(
-            Wave wave, Map<HostId, HostView> views, Set<HostId> evacuate, List<Runnable> orders) {
-        long passed = runtime.clock().nanoTime() - wave.seenNanos;
-        Duration left = wave.request.within().minusNanos(passed);
-        Map<ServiceId, Long> pressure = new HashMap<>();
-        pools.forEach((pool, s) -> pressure.put(pool, s.message.getWaitingMilliCores()));
-        WaveSchedule.Decision decision =
-                WaveSchedule.decide(wave.request, left, views, wave.done, pressure);
-        evacuate.addAll(decision.evacuate());
-        if (decision.complete()) {
-            orders.add(() -> writeStatus(wave, true));
-            return;
-        }
-        if (!wave.announced) {
-            orders.add(() -> writeStatus(wave, false));
+    private void observe(ServiceId pool, PoolStatus status, double now) {
+        if (!status.observed) {
+            status.observed = true;
+            forecast.observe(pool, now, status.message.getOfferedMilliCores() / MILLI);
         }
-        for (HostId host : decision.maintain()) {
-            if (!ordering.contains(host)) {
-                orders.add(() -> maintain(wave, host));
+    }
+
+    private Map<ServiceId, PoolNeed> needs() {
+        Map<ServiceId, PoolNeed> needs = new HashMap<>();
+        for (Map.Entry<ServiceId, PoolStatus> entry : pools.entrySet()) {
+            PoolStatusMessage message = entry.getValue().message;
+            if (isFresh(entry.getValue())) {
+                needs.put(
+                        entry.getKey(),
+                        new PoolNeed(
+                                entry.getKey(),
+                                message.getWantedMilliCores() / MILLI,
+                                message.getWaitingMilliCores() / MILLI));
             }
         }
+        return needs;
+    }
+
+    private boolean isFresh(PoolStatus status) {
+        return runtime.clock().nanoTime() - status.atNanos <= STATUS_AGE.toNanos();
+    }
+
+    private double seconds() {
+        return runtime.clock().nanoTime() / NANOS_PER_SECOND;
     }
 
     // What is known of the hosts.
@@ -192,6 +179,7 @@
                             Map<HostId, PooledHost> byName = new HashMap<>();
                             found.forEach(h -> byName.put(h.host(), h));
                             hosts = byName;
+                            viewedNanos = now;
                         },
                         f -> {
                             looking = false;
@@ -206,9 +194,8 @@
 
     private Map<HostId, HostView> views() {
         Map<WorkerId, WorkerStatusMessage> told = new HashMap<>();
-        long now = runtime.clock().nanoTime();
         for (PoolStatus status : pools.values()) {
-            if (now - status.atNanos <= STATUS_AGE.toNanos()) {
+            if (isFresh(status)) {
                 status.message
                         .getWorkersList()
                         .forEach(w -> told.put(new WorkerId(w.getWorker()), w));
@@ -315,173 +302,38 @@
         return runtime.clock().nanoTime() - gainedNanos > turn.toNanos();
     }
 
-    private void maintain(Wave wave, HostId host) {
-        if (!ordering.add(host)) {
-            return;
-        }
-        int number = wave.request.wave();
-        runtime.hosts()
-                .maintain(host, number, right())
-                .emitOn(runtime.loop())
-                .subscribe()
-                .with(
-                        o -> onMaintained(wave, host, o),
-                        f -> {
-                            ordering.remove(host);
-                            runtime.log().log(
-                                    Event.HOST_REFUSED,
-                                    "host",
-                                    host,
-                                    "wave",
-                                    number,
-                                    "answer",
-                                    "none",
-                                    "cause",
-                                    f.getMessage());
-                        });
+    @Override
+    public Optional<Tenure> tenure() {
+        return tenure;
     }
 
-    private void onMaintained(Wave wave, HostId host, Outcome outcome) {
-        ordering.remove(host);
-        if (outcome != Outcome.DONE) {
-            runtime.log().log(
-                    Event.HOST_REFUSED,
-                    "host",
-                    host,
-                    "wave",
-                    wave.request.wave(),
-                    "answer",
-                    outcome);
-            return;
-        }
-        wave.done.add(host);
+    @Override
+    public void lookAgain() {
         lookedNanos = 0;
-        runtime.log().log(
-                Event.HOST_MAINTAINED,
-                "host",
-                host,
-                "wave",
-                wave.request.wave(),
-                "done",
-                wave.done.size(),
-                "of",
-                wave.request.hosts().size());
-        store(wave);
     }
 
-    private Right right() {
+    @Override
+    public Right right() {
         return new Right(self.value(), tenure.orElseThrow().token());
     }
 
-    private void store(Wave wave) {
-        if (tenure.isEmpty() || wave.storing) {
-            return;
-        }
-        wave.storing = true;
-        int stored = wave.done.size();
-        Tenure held = tenure.get();
-        StoreTransaction change =
-                StoreTransaction.builder()
-                        .expect(held.key(), held.token())
-                        .put(StoreKeys.wave(wave.request.wave()), wave.record())
-                        .build();
-        runtime.store()
-                .commit(change)
-                .emitOn(runtime.loop())
-                .subscribe()
-                .with(
-                        r -> {
-                            wave.storing = false;
-                            if (requireHeld(held, r) && wave.done.size() > stored) {
-                                store(wave);
-                            }
-                        },
-                        f -> {
-                            wave.storing = false;
-                            runtime.after(BUSY_LOOK_MILLIS, () -> store(wave));
-                        });
-    }
-
-    private void writeStatus(Wave wave, boolean completed) {
-        if (wave.writing) {
-            return;
-        }
-        wave.writing = true;
-        Tenure held = tenure.orElseThrow();
-        int number = wave.request.wave();
-        StoreTransaction change =
-                StoreTransaction.builder()
-                        .expect(held.key(), held.token())
-                        .put(
-                                runtime.format().waveStatusKey(number),
-                                runtime.format().waveStatus(completed))
-                        .put(StoreKeys.wave(number), wave.record())
-                        .build();
-        runtime.store()
-                .commit(change)
-                .emitOn(runtime.loop())
-                .subscribe()
-                .with(
-                        r -> {
-                            wave.writing = false;
-                            if (requireHeld(held, r)) {
-                                wave.announced = true;
-                                wave.closed = completed;
-                                runtime.log().log(
-                                        Event.WAVE_STATUS,
-                                        "wave",
-                                        number,
-                                        "completed",
-                                        completed,
-                                        "done",
-                                        wave.done.size());
-                            }
-                        },
-                        f -> wave.writing = false);
-    }
-
-    private boolean requireHeld(Tenure held, CommitResult result) {
+    @Override
+    public boolean isConfirmedBy(Tenure held, CommitResult result) {
         if (!result.applied()) {
             duties.lose(held.duty(), "the store names another holder");
         }
         return result.applied();
     }
 
-    private record PoolStatus(PoolStatusMessage message, long atNanos) {}
-
-    /** A wave and how far it has come. */
-    private static final class Wave {
-        private static final String SEPARATOR = "\n";
-
-        private final WaveRequest request;
-        private final long seenNanos;
-        private final Set<HostId> done = new TreeSet<>();
-        private boolean announced;
-        private boolean closed;
-        private boolean storing;
-        private boolean writing;
-
-        Wave(WaveRequest request, long seenNanos) {
-            this.request = request;
-            this.seenNanos = seenNanos;
-        }
-
-        /** Takes what an earlier holder has done. */
-        void restore(StoreEntry entry) {
-            if (entry == null) {
-                return;
-            }
-            for (String host : entry.text().split(SEPARATOR)) {
-                if (!host.isEmpty()) {
-                    done.add(new HostId(host));
-                }
-            }
-            announced = true;
-        }
+    /** An owner's word on its pool. */
+    private static final class PoolStatus {
+        private final PoolStatusMessage message;
+        private final long atNanos;
+        private boolean observed;
 
-        byte[] record() {
-            List<String> names = done.stream().map(HostId::value).toList();
-            return String.join(SEPARATOR, names).getBytes(StandardCharsets.UTF_8);
+        PoolStatus(PoolStatusMessage message, long atNanos) {
+            this.message = message;
+            this.atNanos = atNanos;
         }
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/HostMover.java
@@ -0,0 +1,142 @@
+package org.crocusgrade.daemon.batch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.crocusgrade.core.fleet.plan.PoolBalancer;
+import org.crocusgrade.core.fleet.plan.PoolNeed;
+import org.crocusgrade.core.id.HostId;
+import org.crocusgrade.core.id.ServiceId;
+import org.crocusgrade.core.maintenance.HostView;
+import org.crocusgrade.core.port.HostControl.Outcome;
+import org.crocusgrade.core.port.HostControl.State;
+import org.crocusgrade.daemon.log.Event;
+
+/** Empties and moves the hosts that the balancer chooses, while the duty is held. */
+final class HostMover {
+    /** How long a host may take to become empty before it stays after all. */
+    private static final Duration EMPTY_PATIENCE = Duration.ofMillis(3500);
+
+    /** How long a moved host counts as on its way at most. */
+    private static final Duration ARRIVAL_PATIENCE = Duration.ofMillis(6000);
+
+    private final Runtime runtime;
+    private final FleetRight right;
+    private final PoolBalancer balancer;
+    private final Map<HostId, Leaving> leaving = new HashMap<>();
+    private final Map<HostId, Leaving> arriving = new HashMap<>();
+    private final Set<HostId> ordering = new HashSet<>();
+
+    HostMover(Runtime runtime, FleetRight right, PoolBalancer balancer) {
+        this.runtime = runtime;
+        this.right = right;
+        this.balancer = balancer;
+    }
+
+    void begin() {
+        leaving.clear();
+        arriving.clear();
+        ordering.clear();
+    }
+
+    /** Adds the hosts to empty and the orders to give; leaves those that are being emptied. */
+    void decide(
+            double now,
+            Map<HostId, HostView> views,
+            Map<ServiceId, PoolNeed> needs,
+            Set<HostId> evacuate,
+            List<Runnable> orders) {
+        forget(views, evacuate);
+        List<HostView> free = new ArrayList<>();
+        for (HostView view : views.values()) {
+            HostId host = view.host();
+            boolean engaged =
+                    evacuate.contains(host)
+                            || leaving.containsKey(host)
+                            || arriving.containsKey(host);
+            if (!engaged) {
+                free.add(view);
+            }
+        }
+        Map<ServiceId, Integer> incoming = new HashMap<>();
+        leaving.values().forEach(l -> incoming.merge(l.to, 1, Integer::sum));
+        arriving.values().forEach(l -> incoming.merge(l.to, 1, Integer::sum));
+        long nanos = runtime.clock().nanoTime();
+        for (PoolBalancer.Move move : balancer.decide(now, free, needs, incoming).moves()) {
+            leaving.put(move.host(), new Leaving(move.to(), nanos));
+        }
+        for (Map.Entry<HostId, Leaving> entry : leaving.entrySet()) {
+            HostView view = views.get(entry.getKey());
+            if (!view.standby()) {
+                evacuate.add(entry.getKey());
+            }
+            if (view.isEmpty() && !ordering.contains(entry.getKey())) {
+                orders.add(() -> move(view, entry.getValue().to));
+            }
+        }
+    }
+
+    private void forget(Map<HostId, HostView> views, Set<HostId> evacuate) {
+        long now = runtime.clock().nanoTime();
+        leaving.entrySet()
+                .removeIf(
+                        e -> {
+                            HostView view = views.get(e.getKey());
+                            boolean gone = view == null || view.state() != State.UP;
+                            long waited = now - e.getValue().sinceNanos;
+                            return gone
+                                    || evacuate.contains(e.getKey())
+                                    || waited > EMPTY_PATIENCE.toNanos();
+                        });
+        arriving.entrySet()
+                .removeIf(
+                        e -> {
+                            HostView view = views.get(e.getKey());
+                            Leaving move = e.getValue();
+                            boolean there =
+                                    view != null
+                                            && view.pool().equals(move.to)
+                                            && view.state() == State.UP
+                                            && (view.known() || view.standby());
+                            return there || now - move.sinceNanos > ARRIVAL_PATIENCE.toNanos();
+                        });
+    }
+
+    private void move(HostView host, ServiceId to) {
+        if (!leaving.containsKey(host.host()) || !ordering.add(host.host())) {
+            return;
+        }
+        runtime.hosts()
+                .move(host.host(), to, right.right())
+                .emitOn(runtime.loop())
+                .subscribe()
+                .with(
+                        o -> onMoved(host, to, o),
+                        f -> {
+                            ordering.remove(host.host());
+                            refused(host.host(), to, "none: " + f.getMessage());
+                        });
+    }
+
+    private void onMoved(HostView host, ServiceId to, Outcome outcome) {
+        ordering.remove(host.host());
+        leaving.remove(host.host());
+        if (outcome != Outcome.DONE) {
+            refused(host.host(), to, outcome.name());
+            return;
+        }
+        arriving.put(host.host(), new Leaving(to, runtime.clock().nanoTime()));
+        right.lookAgain();
+        runtime.log().log(Event.HOST_MOVED, "host", host.host(), "from", host.pool(), "to", to);
+    }
+
+    private void refused(HostId host, ServiceId to, String answer) {
+        runtime.log().log(Event.HOST_REFUSED, "host", host, "to", to, "answer", answer);
+    }
+
+    private record Leaving(ServiceId to, long sinceNanos) {}
+}
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -114,12 +114,14 @@
     /** Returns what the holder of the fleet's duty needs to know. */
     PoolStatusMessage status() {
         long now = runtime.clock().nanoTime();
+        long waiting = scheduler.waitingMilliCores(now, runtime.clock().now());
         PoolStatusMessage.Builder status =
                 PoolStatusMessage.newBuilder()
                         .setService(service.value())
                         .setSequence(++statusSequence)
-                        .setWaitingMilliCores(
-                                scheduler.waitingMilliCores(now, runtime.clock().now()));
+                        .setWaitingMilliCores(waiting)
+                        .setWantedMilliCores(scheduler.usedMilliCores() + waiting)
+                        .setOfferedMilliCores(scheduler.offeredMilliCores(now));
         for (WorkerSession session : sessions.values()) {
             status.addWorkers(session.status());
         }
@@ -311,6 +313,7 @@
     @Override
     public void onWritten() {
         desk.onWritten();
+        sessions.values().forEach(WorkerSession::onStored);
     }
 
     @Override
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordWriter.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordWriter.java
@@ -33,7 +33,7 @@
  */
 final class RecordWriter {
     /** How long progress that nobody waits for is gathered, in milliseconds. */
-    private static final long GATHER_MILLIS = 300;
+    private static final long GATHER_MILLIS = 80;
 
     /** The pause after a failed transaction, in milliseconds. */
     private static final long RETRY_MILLIS = 150;
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -39,8 +39,11 @@
     /** The pause after a call without an answer, in milliseconds. */
     private static final long RETRY_MILLIS = 200;
 
-    /** The pause after a list with ends, so that one call brings several, in milliseconds. */
-    private static final long GATHER_MILLIS = 30;
+    /**
+     * How long the next call waits for ends to be stored that the worker lists, in milliseconds: a
+     * worker answers at once while it lists ends that are not acknowledged.
+     */
+    private static final long ACK_PATIENCE_MILLIS = 120;
 
     /** How long an answer waits while a long-running task is not yet at work. */
     private static final Duration SETTLING_WAIT = Duration.ofMillis(400);
@@ -58,6 +61,7 @@
     private boolean fenced;
     private boolean closed;
     private boolean holding;
+    private long listedEnd;
     private int failures;
     private boolean calibrated;
     private long clockMillis;
@@ -136,6 +140,13 @@
         return failures > 0 && runtime.clock().nanoTime() - end > 0;
     }
 
+    /** Sends the next waiting call now if it waits only for ends to be stored. */
+    void onStored() {
+        if (!holding && failures == 0 && fenced && node.ackCursor() >= listedEnd) {
+            hold();
+        }
+    }
+
     void send(Order order) {
         if (order instanceof Order.Start start) {
             sendStart(start.placement());
@@ -246,10 +257,11 @@
         if (closed) {
             return;
         }
-        if (report.ends().isEmpty()) {
+        report.ends().forEach(e -> listedEnd = Math.max(listedEnd, e.number()));
+        if (node.ackCursor() >= listedEnd) {
             hold();
         } else {
-            runtime.after(GATHER_MILLIS, this::hold);
+            runtime.after(ACK_PATIENCE_MILLIS, this::hold);
         }
     }
 
