--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import org.crocusgrade.core.config.PoolPolicy;
 import org.crocusgrade.core.config.QueueTable;
@@ -24,6 +25,9 @@
 import org.crocusgrade.daemon.log.Event;
 import org.crocusgrade.peer.PeerException;
 import org.crocusgrade.peer.PeerKey;
+import org.crocusgrade.peer.PeerLink;
+import org.crocusgrade.peer.PeerListener;
+import org.crocusgrade.peer.PeerNode;
 import org.crocusgrade.peer.proto.EvacuationMessage;
 import org.crocusgrade.peer.proto.PoolStatusMessage;
 
@@ -35,6 +39,7 @@
 
     private final Runtime runtime;
     private final Identity identity;
+    private final BiFunction<PeerKey, PeerListener, PeerLink> links;
     private final QueueBook queues = new QueueBook();
     private final WorkerRegistry registry;
     private final PrefixWatcher operators;
@@ -45,8 +50,18 @@
     private SubmissionGateway gateway;
     private Map<String, StoreEntry> operatorEntries = Map.of();
 
-    /** Makes a node; {@link #start} makes it join the others. */
+    /** Makes a node on the link between daemons; {@link #start} makes it join the others. */
     public BatchNode(Runtime runtime, Identity identity) {
+        this(
+                runtime,
+                identity,
+                (key, listener) -> new PeerNode(identity.daemon, identity.boot, key, listener, 1));
+    }
+
+    /** Makes a node on a link of the caller's. */
+    BatchNode(
+            Runtime runtime, Identity identity, BiFunction<PeerKey, PeerListener, PeerLink> links) {
+        this.links = links;
         this.runtime = runtime;
         this.identity = identity;
         registry = new WorkerRegistry(runtime, this::onWorkers);
@@ -77,6 +92,11 @@
         return Optional.ofNullable(gateway);
     }
 
+    /** Returns the daemon that holds a duty, as far as this one knows. */
+    Optional<DaemonId> holder(Duty duty) {
+        return duties == null ? Optional.empty() : duties.holder(duty);
+    }
+
     /** Hands all duties back so that others take them at once. */
     public void leave() {
         if (duties != null) {
@@ -137,7 +157,7 @@
         if (duties != null) {
             return;
         }
-        peers = new PeerCalls(runtime, identity.daemon(), identity.boot(), new PeerKey(key), this);
+        peers = new PeerCalls(runtime, this, l -> links.apply(new PeerKey(key), l));
         InetSocketAddress address;
         try {
             address = peers.start(identity.peerAddress());
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PeerCalls.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PeerCalls.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.crocusgrade.core.id.BootId;
 import org.crocusgrade.core.id.DaemonId;
 import org.crocusgrade.core.id.QueueId;
@@ -18,9 +19,8 @@
 import org.crocusgrade.daemon.batch.SubmissionReply.Outcome;
 import org.crocusgrade.peer.FrameDropReason;
 import org.crocusgrade.peer.PeerException;
-import org.crocusgrade.peer.PeerKey;
+import org.crocusgrade.peer.PeerLink;
 import org.crocusgrade.peer.PeerListener;
-import org.crocusgrade.peer.PeerNode;
 import org.crocusgrade.peer.proto.Envelope;
 import org.crocusgrade.peer.proto.EvacuationMessage;
 import org.crocusgrade.peer.proto.PoolStatusMessage;
@@ -35,15 +35,15 @@
 final class PeerCalls implements PeerListener {
     private final Runtime runtime;
     private final Handler handler;
-    private final PeerNode node;
+    private final PeerLink node;
     private final Map<Long, Consumer<SubmissionReply>> pending = new HashMap<>();
     private final Set<DaemonId> known = new HashSet<>();
     private long lastCall;
 
-    PeerCalls(Runtime runtime, DaemonId self, BootId boot, PeerKey key, Handler handler) {
+    PeerCalls(Runtime runtime, Handler handler, Function<PeerListener, PeerLink> links) {
         this.runtime = runtime;
         this.handler = handler;
-        this.node = new PeerNode(self, boot, key, this, 1);
+        this.node = links.apply(this);
     }
 
     InetSocketAddress start(InetSocketAddress listen) throws PeerException {
--- /dev/null
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
@@ -0,0 +1,391 @@
+package org.crocusgrade.daemon.batch;
+
+import io.smallrye.mutiny.Uni;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.crocusgrade.core.config.PoolPolicy;
+import org.crocusgrade.core.config.QueueRoute;
+import org.crocusgrade.core.config.QueueTable;
+import org.crocusgrade.core.id.BootId;
+import org.crocusgrade.core.id.DaemonId;
+import org.crocusgrade.core.id.HostId;
+import org.crocusgrade.core.id.QueueId;
+import org.crocusgrade.core.id.ServiceId;
+import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.maintenance.WaveRequest;
+import org.crocusgrade.core.port.FormatException;
+import org.crocusgrade.core.port.HostControl;
+import org.crocusgrade.core.port.PlatformFormat;
+import org.crocusgrade.core.port.StoreEntry;
+import org.crocusgrade.core.port.WorkerEntry;
+import org.crocusgrade.core.submission.Resources;
+import org.crocusgrade.core.submission.StepSpec;
+import org.crocusgrade.core.submission.SubmissionId;
+import org.crocusgrade.core.submission.SubmissionSpec;
+import org.crocusgrade.core.submission.SubmissionState;
+import org.crocusgrade.daemon.batch.SubmissionCall.Operation;
+import org.crocusgrade.daemon.batch.SubmissionReply.Outcome;
+import org.crocusgrade.daemon.log.EventLog;
+import org.crocusgrade.peer.PeerLink;
+import org.crocusgrade.peer.PeerListener;
+import org.crocusgrade.peer.proto.Envelope;
+
+/** Some daemons, a store and workers in one simulation on a seed. */
+final class SimFleet {
+    static final ServiceId SERVICE = new ServiceId("quotes");
+    static final QueueId QUEUE = new QueueId("quote");
+    static final long TASK_MILLIS = 700;
+
+    private static final int WORKERS = 4;
+    private static final int DAEMONS = 3;
+    private static final Resources CAPACITY = new Resources(8000, 65_536, 0);
+
+    final SimTime time = new SimTime();
+    final Random random;
+    final SimStore store;
+    final SimChecks checks = new SimChecks(time);
+    final Map<WorkerId, SimWorker> workers = new LinkedHashMap<>();
+    final Map<DaemonId, Daemon> daemons = new LinkedHashMap<>();
+    final Map<SubmissionId, SubmissionState> accepted = new LinkedHashMap<>();
+    private int boots;
+    private int submissions;
+
+    SimFleet(long seed) {
+        random = new Random(seed);
+        store = new SimStore(time, random);
+        for (int i = 0; i < WORKERS; i++) {
+            SimWorker worker = new SimWorker("w" + i, time, checks, TASK_MILLIS);
+            workers.put(worker.id, worker);
+            register(worker);
+        }
+        store.write("op/config", new byte[] {1});
+        for (int i = 0; i < DAEMONS; i++) {
+            boot(new DaemonId("d" + i));
+        }
+        time.run(4000);
+    }
+
+    void register(SimWorker worker) {
+        byte[] born = Long.toString(worker.born()).getBytes(StandardCharsets.UTF_8);
+        store.write("servers/" + worker.id, born);
+    }
+
+    /** Starts a daemon, or starts it again after its process was killed. */
+    Daemon boot(DaemonId name) {
+        Daemon daemon = new Daemon(name, new BootId("boot" + ++boots));
+        daemons.put(name, daemon);
+        daemon.node.start();
+        return daemon;
+    }
+
+    void kill(DaemonId name) {
+        daemons.get(name).loop.kill();
+        daemons.get(name).dead = true;
+    }
+
+    Daemon holder() {
+        for (Daemon daemon : daemons.values()) {
+            Optional<DaemonId> holder =
+                    daemon.node.holder(Duty.pool(SERVICE)).filter(daemons::containsKey);
+            if (!daemon.dead && holder.isPresent()) {
+                return daemons.get(holder.get());
+            }
+        }
+        return daemons.values().iterator().next();
+    }
+
+    /** Hands a submission of some tasks in at some daemon; callers ask again after silence. */
+    SubmissionId submit(int tasks) {
+        SubmissionId id = new SubmissionId(String.format("%016x", ++submissions));
+        submit(id, tasks, 0);
+        return id;
+    }
+
+    private void submit(SubmissionId id, int tasks, int attempt) {
+        List<Daemon> alive = daemons.values().stream().filter(d -> !d.dead).toList();
+        if (alive.isEmpty() || attempt > 4) {
+            return;
+        }
+        Daemon daemon = alive.get(random.nextInt(alive.size()));
+        checks.attempted(id);
+        boolean[] answered = {false};
+        daemon.call(
+                Operation.SUBMIT,
+                id,
+                new byte[] {(byte) tasks},
+                reply -> {
+                    answered[0] = true;
+                    if (reply.outcome() == Outcome.DONE) {
+                        accepted.putIfAbsent(id, SubmissionState.QUEUED);
+                    } else if (reply.outcome() == Outcome.REFUSED) {
+                        checks.refused(id);
+                    } else {
+                        submit(id, tasks, attempt + 1);
+                    }
+                });
+        time.afterMillis(
+                3000,
+                () -> {
+                    if (!answered[0]) {
+                        submit(id, tasks, attempt + 1);
+                    }
+                });
+    }
+
+    /** Asks for all accepted submissions; returns those that have not ended as completed. */
+    List<String> unfinished() {
+        Daemon daemon = daemons.values().stream().filter(d -> !d.dead).findFirst().orElseThrow();
+        List<String> open = new ArrayList<>();
+        for (SubmissionId id : accepted.keySet()) {
+            String[] told = {"no answer"};
+            daemon.call(
+                    Operation.STATE,
+                    id,
+                    new byte[0],
+                    r ->
+                            told[0] =
+                                    r.outcome() == Outcome.DONE
+                                            ? r.state().name()
+                                            : r.outcome().name());
+            time.run(100);
+            if (!told[0].equals(SubmissionState.COMPLETED.name())) {
+                open.add(id + " is " + told[0]);
+            }
+        }
+        return open;
+    }
+
+    /** One daemon of the fleet. */
+    final class Daemon {
+        final DaemonId name;
+        final SimLoop loop = new SimLoop(time);
+        final SimStore.Client client = store.client();
+        final SimOrders orders = new SimOrders(time, random, workers);
+        final BatchNode node;
+        private PeerListener listener;
+        private boolean dead;
+
+        Daemon(DaemonId name, BootId boot) {
+            this.name = name;
+            Runtime runtime =
+                    new Runtime(
+                            client,
+                            orders,
+                            new Hosts(),
+                            null,
+                            new Format(),
+                            time,
+                            loop,
+                            new EventLog(time),
+                            new Limits(
+                                    Duration.ofSeconds(6),
+                                    Duration.ofSeconds(120),
+                                    Duration.ofSeconds(3),
+                                    Duration.ofSeconds(1),
+                                    Duration.ofSeconds(6)));
+            InetSocketAddress address = new InetSocketAddress("127.0.0.1", 7000);
+            node =
+                    new BatchNode(
+                            runtime,
+                            new BatchNode.Identity(
+                                    name, boot, "zone", address, Duration.ofMillis(500)),
+                            (key, l) -> {
+                                listener = l;
+                                return new Link(name, boot);
+                            });
+        }
+
+        void call(
+                Operation operation,
+                SubmissionId id,
+                byte[] body,
+                Consumer<SubmissionReply> reply) {
+            SubmissionCall call =
+                    new SubmissionCall(SERVICE, operation, QUEUE, Optional.of(id), body, 1);
+            loop.execute(
+                    () ->
+                            node.gateway()
+                                    .ifPresentOrElse(
+                                            g -> g.call(call, reply),
+                                            () ->
+                                                    reply.accept(
+                                                            SubmissionReply.refused(
+                                                                    Duration.ofSeconds(1),
+                                                                    "starting"))));
+        }
+    }
+
+    private final class Link implements PeerLink {
+        private final DaemonId self;
+        private final BootId boot;
+
+        Link(DaemonId self, BootId boot) {
+            this.self = self;
+            this.boot = boot;
+        }
+
+        @Override
+        public InetSocketAddress start(InetSocketAddress listen) {
+            return listen;
+        }
+
+        @Override
+        public void setAddress(DaemonId peer, InetSocketAddress address) {
+            // Daemons of the simulation are found by name.
+        }
+
+        @Override
+        public void removePeer(DaemonId peer) {
+            // Daemons of the simulation are found by name.
+        }
+
+        @Override
+        public void send(DaemonId to, Envelope message) {
+            time.afterMillis(
+                    1,
+                    () -> {
+                        Daemon peer = daemons.get(to);
+                        if (peer != null && !peer.dead && peer.listener != null) {
+                            peer.listener.onMessage(self, boot, message);
+                        }
+                    });
+        }
+
+        @Override
+        public void stop() {
+            // Nothing to close.
+        }
+    }
+
+    private final class Hosts implements HostControl {
+        @Override
+        public Uni<List<PooledHost>> hosts() {
+            List<PooledHost> hosts = new ArrayList<>();
+            for (SimWorker worker : workers.values()) {
+                hosts.add(
+                        new PooledHost(
+                                new HostId("h-" + worker.id),
+                                SERVICE,
+                                worker.isDown() ? State.DOWN : State.UP,
+                                "zone",
+                                List.of("a", "r1"),
+                                CAPACITY,
+                                Optional.of(worker.id)));
+            }
+            return Uni.createFrom().item(hosts);
+        }
+
+        @Override
+        public Uni<Outcome> move(HostId host, ServiceId pool, Right right) {
+            return Uni.createFrom().item(Outcome.BUSY);
+        }
+
+        @Override
+        public Uni<Outcome> maintain(HostId host, int wave, Right right) {
+            return Uni.createFrom().item(Outcome.BUSY);
+        }
+    }
+
+    /** The simulation's records: a worker's birth as text, a submission's tasks as one byte. */
+    private static final class Format implements PlatformFormat {
+        @Override
+        public String workerPrefix() {
+            return "servers/";
+        }
+
+        @Override
+        public WorkerEntry worker(StoreEntry entry) throws FormatException {
+            return new WorkerEntry(
+                    new WorkerId(entry.key().substring(workerPrefix().length())),
+                    SERVICE,
+                    new InetSocketAddress("127.0.0.1", 8000),
+                    "zone",
+                    false,
+                    Duration.ZERO,
+                    Long.parseLong(entry.text()),
+                    List.of("a", "r1"),
+                    Optional.of("r1"),
+                    CAPACITY,
+                    Optional.empty());
+        }
+
+        @Override
+        public String operatorPrefix() {
+            return "op/";
+        }
+
+        @Override
+        public String configKey() {
+            return "op/config";
+        }
+
+        @Override
+        public QueueTable queues(StoreEntry entry) {
+            QueueRoute route =
+                    new QueueRoute(
+                            QUEUE,
+                            "host",
+                            "/q/",
+                            SERVICE,
+                            0,
+                            3,
+                            20,
+                            Duration.ofSeconds(60),
+                            Duration.ofSeconds(3),
+                            Optional.empty());
+            PoolPolicy policy = new PoolPolicy(SERVICE, true, false);
+            return new QueueTable(1, List.of(route), Map.of(SERVICE, policy));
+        }
+
+        @Override
+        public boolean isWave(String key) {
+            return false;
+        }
+
+        @Override
+        public WaveRequest wave(StoreEntry entry) throws FormatException {
+            throw new FormatException("no waves here");
+        }
+
+        @Override
+        public String waveStatusKey(int wave) {
+            return "status/" + wave;
+        }
+
+        @Override
+        public byte[] waveStatus(boolean completed) {
+            return new byte[0];
+        }
+
+        @Override
+        public SubmissionSpec submission(byte[] body) {
+            StepSpec step =
+                    new StepSpec(
+                            body[0],
+                            new Resources(1000, 512, 0),
+                            Duration.ofMillis(TASK_MILLIS),
+                            List.of(),
+                            false,
+                            false,
+                            Optional.empty(),
+                            Optional.empty(),
+                            0,
+                            false,
+                            false,
+                            false,
+                            Optional.empty(),
+                            Optional.empty(),
+                            false,
+                            0);
+            return new SubmissionSpec("payload", List.of(step), Optional.empty());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimWorker.java
@@ -0,0 +1,212 @@
+package org.crocusgrade.daemon.batch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.port.WorkerOrders.StartOutcome;
+import org.crocusgrade.core.port.WorkerOrders.StartRun;
+import org.crocusgrade.core.port.WorkerOrders.WorkerReport;
+import org.crocusgrade.core.submission.TaskEnd;
+import org.crocusgrade.core.submission.TaskEnd.How;
+import org.crocusgrade.core.submission.TaskId;
+import org.crocusgrade.core.submission.TaskRun;
+
+/** One simulated worker: runs tasks under a lease and a fence, and keeps a list of ends. */
+final class SimWorker {
+    private static final long MAX_LEASE_MILLIS = 6000;
+    private static final double CLOCK_RATE = 0.985;
+
+    final WorkerId id;
+    private final SimTime time;
+    private final SimChecks checks;
+    private final long taskMillis;
+    private final Map<TaskId, Run> running =
+            new TreeMap<>((a, b) -> a.toString().compareTo(b.toString()));
+    private final List<TaskEnd> ends = new ArrayList<>();
+    private final Map<TaskId, Long> refusedUpTo = new HashMap<>();
+    private final Set<Runnable> waiting = new HashSet<>();
+    private long fence;
+    private long born;
+    private long bornNanos;
+    private long lastEnd;
+    private long leaseUntil;
+    private int life;
+    private boolean dark;
+    private boolean down;
+
+    SimWorker(String name, SimTime time, SimChecks checks, long taskMillis) {
+        id = new WorkerId(name);
+        this.time = time;
+        this.checks = checks;
+        this.taskMillis = taskMillis;
+        begin();
+    }
+
+    long born() {
+        return born;
+    }
+
+    int life() {
+        return life;
+    }
+
+    boolean isDark() {
+        return dark || down;
+    }
+
+    boolean isDown() {
+        return down;
+    }
+
+    /** It answers nobody, and goes on. */
+    void setDark(boolean now) {
+        dark = now;
+    }
+
+    /** All that runs ends without a trace. */
+    void crash() {
+        running.forEach((task, run) -> checks.ended(id, task, run.number));
+        down = true;
+        life++;
+        running.clear();
+    }
+
+    /** It starts again under its name and knows nothing. */
+    void begin() {
+        life++;
+        down = false;
+        running.clear();
+        ends.clear();
+        refusedUpTo.clear();
+        fence = 0;
+        lastEnd = 0;
+        leaseUntil = 0;
+        bornNanos = time.nanoTime();
+        born = time.now().toEpochMilli();
+    }
+
+    long clock() {
+        return (long) ((time.nanoTime() - bornNanos) / 1e6 * CLOCK_RATE);
+    }
+
+    private boolean isFencedOff(long token) {
+        if (token < fence) {
+            return true;
+        }
+        fence = token;
+        return false;
+    }
+
+    StartOutcome start(StartRun order, long token) {
+        if (isFencedOff(token)) {
+            return StartOutcome.FENCED;
+        }
+        if (order.leaseUntilMillis() <= clock()) {
+            return StartOutcome.EXPIRED;
+        }
+        extend(order.leaseUntilMillis());
+        Run held = running.get(order.task());
+        if (held != null && held.number == order.run()) {
+            return StartOutcome.STARTED;
+        }
+        if (held != null || order.run() <= refusedUpTo.getOrDefault(order.task(), 0L)) {
+            return StartOutcome.SUPERSEDED;
+        }
+        running.put(order.task(), new Run(order.run()));
+        checks.started(id, order.task(), order.run());
+        int begun = life;
+        if (taskMillis > 0) {
+            time.afterMillis(taskMillis, () -> finish(begun, order.task(), order.run()));
+        }
+        watchLease(begun);
+        return StartOutcome.STARTED;
+    }
+
+    boolean stop(TaskId task, long run, long token) {
+        if (isFencedOff(token)) {
+            return false;
+        }
+        refusedUpTo.merge(task, run, Math::max);
+        Run held = running.get(task);
+        if (held != null && held.number == run) {
+            end(task, run, How.STOPPED);
+        }
+        return true;
+    }
+
+    /** Takes a renewal; returns false to a holder that is fenced off. */
+    boolean hold(long token, long ackCursor, OptionalLong until) {
+        if (isFencedOff(token)) {
+            return false;
+        }
+        until.ifPresent(this::extend);
+        for (TaskEnd end : ends) {
+            if (end.number() <= ackCursor) {
+                checks.acknowledged(end);
+            }
+        }
+        ends.removeIf(e -> e.number() <= ackCursor);
+        return true;
+    }
+
+    WorkerReport report() {
+        List<TaskRun> runs = new ArrayList<>();
+        running.forEach((task, run) -> runs.add(new TaskRun(task, run.number, "", 100, 0)));
+        return new WorkerReport(clock(), OptionalLong.of(born), runs, List.copyOf(ends));
+    }
+
+    /** Calls a step at the next end. */
+    void onEnd(Runnable step) {
+        if (!ends.isEmpty()) {
+            step.run();
+            return;
+        }
+        waiting.add(step);
+    }
+
+    private void extend(long until) {
+        leaseUntil = Math.max(leaseUntil, Math.min(until, clock() + MAX_LEASE_MILLIS));
+    }
+
+    private void watchLease(int begun) {
+        long left = (long) ((leaseUntil - clock()) / CLOCK_RATE) + 1;
+        time.afterMillis(
+                Math.max(1, left),
+                () -> {
+                    if (begun != life || running.isEmpty()) {
+                        return;
+                    }
+                    if (clock() < leaseUntil) {
+                        watchLease(begun);
+                        return;
+                    }
+                    List.copyOf(running.entrySet())
+                            .forEach(e -> end(e.getKey(), e.getValue().number, How.LAPSED));
+                });
+    }
+
+    private void finish(int begun, TaskId task, long run) {
+        Run held = running.get(task);
+        if (begun == life && held != null && held.number == run) {
+            end(task, run, How.DONE);
+        }
+    }
+
+    private void end(TaskId task, long run, How how) {
+        running.remove(task);
+        refusedUpTo.merge(task, run, Math::max);
+        ends.add(new TaskEnd(++lastEnd, task, run, how, ""));
+        checks.ended(id, task, run);
+        List<Runnable> steps = List.copyOf(waiting);
+        waiting.clear();
+        steps.forEach(Runnable::run);
+    }
+
+    private record Run(long number) {}
+}
--- a/peer/src/main/java/org/crocusgrade/peer/PeerNode.java
+++ b/peer/src/main/java/org/crocusgrade/peer/PeerNode.java
@@ -32,7 +32,7 @@
  * connections that it accepts. Messages are soft state that their senders repeat: one that cannot
  * be sent within the bounds is dropped and counted, never kept for later.
  */
-public final class PeerNode {
+public final class PeerNode implements PeerLink {
     /** The longest frame, in bytes: a configuration blob and room for its envelope. */
     public static final int MAX_FRAME_BYTES = (1 << 20) + (1 << 16);
 
@@ -74,6 +74,7 @@
      * @return the address, its port chosen by the system when the given one is 0
      * @throws PeerException if the address cannot be bound
      */
+    @Override
     public InetSocketAddress start(InetSocketAddress listen) throws PeerException {
         try {
             server =
@@ -98,6 +99,7 @@
     }
 
     /** Sets where a peer listens; a changed address ends the connection to the old one. */
+    @Override
     public void setAddress(DaemonId peer, InetSocketAddress address) {
         InetSocketAddress old = addresses.put(peer, address);
         if (old != null && !old.equals(address)) {
@@ -106,12 +108,14 @@
     }
 
     /** Forgets a peer that has left. */
+    @Override
     public void removePeer(DaemonId peer) {
         addresses.remove(peer);
         removeConnection(peer);
     }
 
     /** Sends a message, or drops and counts it. */
+    @Override
     public void send(DaemonId to, Envelope message) {
         InetSocketAddress address = addresses.get(to);
         if (address == null) {
@@ -122,6 +126,7 @@
     }
 
     /** Closes every connection and stops the threads. */
+    @Override
     public void stop() {
         if (server != null) {
             server.close();
