--- a/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
@@ -70,7 +70,7 @@
     }
 
     boolean isAtWork() {
-        return phase == Phase.RUNNING && percent >= FULL_PERCENT;
+        return phase == Phase.RUNNING && percent >= FULL_PERCENT && !worker.isSilent();
     }
 
     int percent() {
--- a/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
@@ -26,6 +26,7 @@
     private final Deque<PendingEnd> pendingEnds = new ArrayDeque<>();
     private Resources used = Resources.NONE;
     private boolean usable;
+    private boolean silent;
     private boolean draining;
     private boolean evacuating;
     private long lastEnd;
@@ -119,6 +120,15 @@
         usable = now;
     }
 
+    /** Says whether the last call to the worker got no answer: nobody knows what it does. */
+    public void setSilent(boolean now) {
+        silent = now;
+    }
+
+    boolean isSilent() {
+        return silent;
+    }
+
     /** Says that the worker is about to leave. */
     public void setDraining(boolean now) {
         draining = now;
--- a/core/src/test/java/org/crocusgrade/core/schedule/PoolSchedulerTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/PoolSchedulerTest.java
@@ -253,6 +253,23 @@
         assertThat(other.placements(), empty());
     }
 
+    @Test
+    void tasksOnASilentWorkerCountAsAway() {
+        StepBuilder oneAway = new StepBuilder(2, 1000).longRunning(1).maxPerWorker(1);
+        WorkerNode leaving = pool.worker("w1", "r1");
+        WorkerNode silent = pool.worker("w2", "r2");
+        pool.submit(false, oneAway.build());
+        assertThat(pool.startAll(), hasSize(2));
+        pool.report(leaving);
+        pool.report(silent);
+        pool.worker("w3", "r3");
+        silent.setSilent(true);
+        leaving.setEvacuating(true);
+        assertThat(pool.stops(), empty());
+        silent.setSilent(false);
+        assertThat(pool.stops(), hasSize(1));
+    }
+
     @Test
     void nothingLeavesAWorkerThatIsEmptiedWithoutAnotherPlace() {
         WorkerNode leaving = pool.worker("w1", "r1");
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PeerCalls.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PeerCalls.java
@@ -4,10 +4,8 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.crocusgrade.core.id.BootId;
@@ -33,11 +31,14 @@
  * without an answer may have been carried out.
  */
 final class PeerCalls implements PeerListener {
+    /** How long a daemon that left the list is still known. */
+    private static final Duration FORGET_AFTER = Duration.ofSeconds(30);
+
     private final Runtime runtime;
     private final Handler handler;
     private final PeerLink node;
     private final Map<Long, Consumer<SubmissionReply>> pending = new HashMap<>();
-    private final Set<DaemonId> known = new HashSet<>();
+    private final Map<DaemonId, Long> listedNanos = new HashMap<>();
     private long lastCall;
 
     PeerCalls(Runtime runtime, Handler handler, Function<PeerListener, PeerLink> links) {
@@ -54,17 +55,24 @@
         node.stop();
     }
 
+    /**
+     * Takes where the daemons are. One that has left the list may still be owed answers, and may
+     * answer, so it is forgotten only after a while.
+     */
     void setDaemons(Map<DaemonId, InetSocketAddress> daemons) {
+        long now = runtime.clock().nanoTime();
         daemons.forEach(node::setAddress);
-        known.removeIf(
-                d -> {
-                    boolean gone = !daemons.containsKey(d);
-                    if (gone) {
-                        node.removePeer(d);
-                    }
-                    return gone;
-                });
-        known.addAll(daemons.keySet());
+        daemons.keySet().forEach(d -> listedNanos.put(d, now));
+        listedNanos
+                .entrySet()
+                .removeIf(
+                        e -> {
+                            boolean gone = now - e.getValue() > FORGET_AFTER.toNanos();
+                            if (gone) {
+                                node.removePeer(e.getKey());
+                            }
+                            return gone;
+                        });
     }
 
     /** Calls another daemon; the reply says {@link Outcome#NO_ANSWER} if none comes in time. */
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -39,7 +39,7 @@
     static final Duration EXTEND_WITHOUT_STORE = Duration.ofSeconds(5);
 
     /** How long after a take-over a lease of the last owner may live at most. */
-    private static final Duration OLD_LEASES = EXTEND_WITHOUT_STORE.plusMillis(5700);
+    private static final Duration OLD_LEASES = EXTEND_WITHOUT_STORE.plusMillis(5000);
 
     /** The pause between an event and the plan that answers it, in milliseconds. */
     private static final long PLAN_PAUSE_MILLIS = 3;
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -31,7 +31,7 @@
     static final Duration HOLD_WAIT = Duration.ofMillis(1500);
 
     /** The lease of runs: long enough for a take-over while the last waiting call was out. */
-    private static final long RUN_LEASE_MILLIS = 5500;
+    private static final long RUN_LEASE_MILLIS = 4800;
 
     /** The slowest rate of a worker's clock, from the platform's interface. */
     private static final double SLOWEST_CLOCK = 0.98;
@@ -295,6 +295,7 @@
     }
 
     private void updateUsable() {
+        node.setSilent(failures > 0);
         node.setUsable(registered && fenced && failures == 0 && !closed);
     }
 
