Settle pools by what hosts still live; carry orders over a worker's rebirth; refuse only what is sure

Change: an owner suspects only workers whose hosts are listed as up by every list since the take-over; runs that no list has shown are carried to the next life, stopped and asked for; "not stored" needs that no try was left without an answer; requests are brought to the next owner for up to 0.7 s; three transactions may be open; workers are in a class of their own beside the owner. Ruled out: a shorter wait for all (a silent worker may hold leases that long). Some runs of the simulation were not the same twice, by unseeded pauses and by the order of copied maps; pauses are seeded now, and what orders decisions is sorted.

--- a/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
@@ -13,6 +13,7 @@
     private Phase phase = Phase.STARTING;
     private long settledNanos;
     private long stopSentNanos;
+    private boolean listed;
     private boolean stopInFlight;
     private boolean stopSent;
     private boolean stopAnswered;
@@ -64,6 +65,14 @@
         settledNanos = now;
     }
 
+    /**
+     * Returns whether a list of this life of the worker has shown the run. An answer to a start
+     * does not tell which life gave it.
+     */
+    boolean isListed() {
+        return listed;
+    }
+
     /** Returns since when the phase holds. */
     long settledNanos() {
         return settledNanos;
@@ -86,6 +95,7 @@
     }
 
     void observe(int share, long seenLoad, long now) {
+        listed = true;
         if (share != percent) {
             percent = share;
             percentNanos = now;
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -113,6 +113,37 @@
         pool.workers().remove(worker.id(), worker);
     }
 
+    /**
+     * Takes the certain end of a worker's life when it may live on under its name. Runs that no
+     * list has shown may be the next life's, so their tasks stay until that has been asked.
+     *
+     * @return whether such orders are left
+     */
+    public boolean lifeEnded(WorkerNode worker) {
+        for (Placement placement : List.copyOf(worker.placements())) {
+            if (placement.isListed()) {
+                worker.remove(placement);
+            }
+        }
+        worker.setSilent(true);
+        worker.setUsable(false);
+        return !worker.placements().isEmpty();
+    }
+
+    /** Adds the next life of a worker with the orders of the last that have no answer. */
+    public void addNextLife(WorkerNode last, WorkerNode next, long now) {
+        for (Placement placement : List.copyOf(last.placements())) {
+            last.remove(placement);
+            Placement carried =
+                    new Placement(
+                            placement.task(), next, placement.run(), placement.checkpoint(), now);
+            carried.enter(Phase.UNCERTAIN, now);
+            next.add(carried);
+        }
+        workerDied(last);
+        addWorker(next);
+    }
+
     /** Takes the certain end of all runs of a worker that may still live. */
     public void clearRuns(WorkerNode worker) {
         intake.onDeath(worker);
@@ -183,7 +214,7 @@
     public double batchCores(long now) {
         long milli = 0;
         for (WorkerNode worker : pool.workers().values()) {
-            if (worker.takesWork(now)) {
+            if (worker.isCountedOn(now)) {
                 milli += worker.capacity().milliCores();
                 for (Placement placement : worker.placements()) {
                     if (placement.task().step().spec().longRunning()) {
--- a/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
@@ -154,6 +154,11 @@
         return usable && !draining && !evacuating && !isDistrusted(now);
     }
 
+    /** Returns whether the worker takes work now, or will once it has been asked for its runs. */
+    boolean isCountedOn(long now) {
+        return !silent && !draining && !evacuating && !isDistrusted(now);
+    }
+
     /** Returns whether the worker is sound: it takes orders and does not fail all it starts. */
     public boolean isSound(long now) {
         return usable && !draining && !isDistrusted(now);
--- a/core/src/test/java/org/crocusgrade/core/schedule/PoolSchedulerTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/PoolSchedulerTest.java
@@ -290,6 +290,28 @@
         assertThat(pool.starts().stream().map(Placement::worker).toList(), contains(next));
     }
 
+    @Test
+    void anOrderOnItsWayToAWorkerThatIsBornAgainBlocksItsTaskUntilTheNextLifeIsAsked() {
+        WorkerNode last = pool.worker("w1", "r1");
+        pool.submit(false, step(2, 1000));
+        List<Placement> starts = pool.starts();
+        assertThat(starts, hasSize(2));
+        pool.answer(starts.get(0), StartAnswer.STARTED);
+        assertThat(pool.scheduler.lifeEnded(last), is(true));
+        WorkerNode next = pool.worker("w1", "r1");
+        pool.scheduler.addNextLife(last, next, pool.now());
+        pool.worker("w2", "r2");
+        List<Order.Stop> stops = pool.stops();
+        assertThat(stops, hasSize(2));
+        assertThat(stops.get(0).worker(), is(next));
+        for (Order.Stop stop : stops) {
+            pool.scheduler.onStopAnswer(stop.placement().orElseThrow(), true, pool.now());
+        }
+        assertThat(pool.starts(), empty());
+        pool.list(next, List.of());
+        assertThat(pool.starts(), hasSize(2));
+    }
+
     @Test
     void opportunisticTasksReserveNoProcessors() {
         pool.worker("w1", "r1");
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
@@ -66,11 +66,8 @@
         this.identity = identity;
         registry = new WorkerRegistry(runtime, this::onWorkers);
         operators =
-                new PrefixWatcher(
-                        runtime.store(),
-                        runtime.format().operatorPrefix(),
-                        runtime.loop(),
-                        e -> runtime.guard(() -> onOperatorEntries(e)));
+                runtime.watcher(
+                        runtime.format().operatorPrefix(), Duration.ZERO, this::onOperatorEntries);
         fleet = new FleetHolder(runtime, identity.daemon(), this::sendEvacuation);
     }
 
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyKeeper.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyKeeper.java
@@ -105,12 +105,7 @@
                         .setZone(zone)
                         .build()
                         .toByteArray();
-        watcher =
-                new PrefixWatcher(
-                        runtime.store(),
-                        StoreKeys.COORDINATION,
-                        runtime.loop(),
-                        e -> runtime.guard(() -> onEntries(e)));
+        watcher = runtime.watcher(StoreKeys.COORDINATION, Duration.ZERO, this::onEntries);
     }
 
     void start() {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolDesk.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolDesk.java
@@ -141,6 +141,9 @@
             case CREATED -> SubmissionReply.done(SubmissionState.QUEUED);
             case EXISTS -> SubmissionReply.done(SubmissionState.QUEUED);
             case NOT_STORED -> {
+                if (writer.isStopped()) {
+                    yield SubmissionReply.of(Outcome.NOT_OWNER, "handed over");
+                }
                 log(Event.SUBMISSION_REFUSED, id, "store unavailable");
                 yield SubmissionReply.refused(SubmissionReply.DEFAULT_RETRY, "store unavailable");
             }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolLoader.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolLoader.java
@@ -29,6 +29,9 @@
 final class PoolLoader {
     private static final long RETRY_MILLIS = 200;
 
+    /** The time between looks at the hosts until all runs are accounted for, in milliseconds. */
+    private static final long HOSTS_MILLIS = 400;
+
     private final Runtime runtime;
     private final PoolOwner owner;
     private final WorkerRegistry registry;
@@ -145,8 +148,11 @@
                 .emitOn(runtime.loop())
                 .subscribe()
                 .with(
-                        h -> owner.onLivingWorkers(livingWorkers(h)),
-                        f -> runtime.after(RETRY_MILLIS, this::readHosts));
+                        h -> {
+                            owner.onLivingWorkers(livingWorkers(h));
+                            runtime.after(HOSTS_MILLIS, this::readHosts);
+                        },
+                        f -> runtime.after(HOSTS_MILLIS, this::readHosts));
     }
 
     private Set<WorkerId> livingWorkers(List<PooledHost> hosts) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.crocusgrade.core.config.QueueRoute;
@@ -38,9 +37,6 @@
     /** How long leases are extended without a sign that the duty is still held. */
     static final Duration EXTEND_WITHOUT_STORE = Duration.ofSeconds(5);
 
-    /** How long after a take-over a lease of the last owner may live at most. */
-    private static final Duration OLD_LEASES = EXTEND_WITHOUT_STORE.plusMillis(5000);
-
     /** The pause between an event and the plan that answers it, in milliseconds. */
     private static final long PLAN_PAUSE_MILLIS = 3;
 
@@ -52,11 +48,8 @@
     private final Consumer<String> onRightLost;
     private final PoolScheduler scheduler;
     private final RecordWriter writer;
-    private final Map<WorkerId, WorkerSession> sessions = new HashMap<>();
+    private final PoolCrew crew;
     private final PoolDesk desk;
-    private final long tookOverNanos;
-    private Set<WorkerId> evacuating = Set.of();
-    private Optional<Set<WorkerId>> livingWorkers = Optional.empty();
     private boolean loaded;
     private boolean planDue;
     private boolean stopped;
@@ -78,7 +71,7 @@
         scheduler = new PoolScheduler(tenure.term(), this::route);
         writer = new RecordWriter(runtime, service, tenure, scheduler.dirty(), this);
         desk = new PoolDesk(runtime, service, queues, scheduler, writer, this::planSoon);
-        tookOverNanos = runtime.clock().nanoTime();
+        crew = new PoolCrew(runtime, service, tenure, scheduler, this);
     }
 
     ServiceId service() {
@@ -104,7 +97,7 @@
     void stop() {
         stopped = true;
         writer.stop();
-        sessions.values().forEach(WorkerSession::close);
+        crew.stop();
     }
 
     boolean isStopped() {
@@ -122,7 +115,7 @@
                         .setWaitingMilliCores(waiting)
                         .setWantedMilliCores(scheduler.usedMilliCores() + waiting)
                         .setOfferedMilliCores(scheduler.offeredMilliCores(now));
-        for (WorkerSession session : sessions.values()) {
+        for (WorkerSession session : crew.sessions()) {
             status.addWorkers(session.status());
         }
         return status.build();
@@ -135,82 +128,29 @@
 
     /** Takes the workers that are registered, of all pools. */
     void onWorkers(Map<WorkerId, WorkerEntry> registered) {
-        if (!loaded || stopped) {
-            return;
-        }
-        for (WorkerEntry entry : registered.values()) {
-            if (entry.service().equals(service)) {
-                onWorker(entry);
-            }
-        }
-        for (WorkerSession session : sessions.values()) {
-            WorkerEntry entry = registered.get(session.node().id());
-            session.setRegistered(entry != null && entry.service().equals(service));
-        }
-        planSoon();
-    }
-
-    private void onWorker(WorkerEntry entry) {
-        WorkerSession held = sessions.get(entry.worker());
-        if (held != null && held.node().born() != entry.born() && entry.born() > 0) {
-            onDead(held, "registered again");
-            held = null;
+        if (loaded && !stopped) {
+            crew.onWorkers(registered);
+            planSoon();
         }
-        if (held == null) {
-            held = open(entry);
-        }
-        held.setDraining(entry.draining(), entry.remaining());
-    }
-
-    private WorkerSession open(WorkerEntry entry) {
-        WorkerNode node =
-                new WorkerNode(
-                        entry.worker(),
-                        entry.host(),
-                        entry.born(),
-                        entry.zone(),
-                        entry.rack(),
-                        Set.copyOf(entry.labels()),
-                        entry.capacity());
-        node.setEvacuating(evacuating.contains(entry.worker()));
-        WorkerSession session = new WorkerSession(runtime, node, entry, tenure.token(), this);
-        sessions.put(entry.worker(), session);
-        scheduler.addWorker(node);
-        runtime.log().log(
-                Event.WORKER_JOINED,
-                "pool",
-                service,
-                "worker",
-                entry.worker(),
-                "born",
-                entry.born(),
-                "cores",
-                entry.capacity().milliCores());
-        session.start();
-        return session;
     }
 
     /** Sets which workers are to be emptied. */
     void evacuate(Set<WorkerId> workers) {
-        evacuating = workers;
-        for (WorkerSession session : sessions.values()) {
-            session.node().setEvacuating(workers.contains(session.node().id()));
-        }
+        crew.evacuate(workers);
         planSoon();
     }
 
+    /** Takes the workers of the pool's hosts that are up, read after the take-over. */
+    void onLivingWorkers(Set<WorkerId> living) {
+        crew.onLivingWorkers(living);
+    }
+
     /** Does what time brings: lapsed leases, due retries, expired records. */
     void tick() {
-        if (!loaded || stopped) {
-            return;
-        }
-        settle();
-        for (WorkerSession session : List.copyOf(sessions.values())) {
-            if (session.hasLapsed()) {
-                onLapsed(session);
-            }
+        if (loaded && !stopped) {
+            crew.tick();
+            planSoon();
         }
-        planSoon();
     }
 
     /** Deletes the records of what nobody may ask for any more. */
@@ -225,86 +165,13 @@
         writer.changed();
     }
 
-    private void settle() {
-        if (scheduler.isSettled()) {
-            return;
-        }
-        boolean inherited =
-                scheduler.submissions().stream()
-                        .anyMatch(s -> s.isInherited() && !s.outcome().isFinal());
-        boolean fenced = isAllFenced();
-        long age = runtime.clock().nanoTime() - tookOverNanos;
-        if (!inherited || fenced || age > OLD_LEASES.toNanos()) {
-            scheduler.setSettled();
-            runtime.log().log(
-                    Event.POOL_SETTLED,
-                    "pool",
-                    service,
-                    "fenced",
-                    fenced,
-                    "after-ms",
-                    Duration.ofNanos(age).toMillis(),
-                    "submissions",
-                    scheduler.submissions().size());
-        }
-    }
-
-    /** Returns whether each worker that may run something of an earlier owner has been asked. */
-    private boolean isAllFenced() {
-        if (livingWorkers.isEmpty()) {
-            return false;
-        }
-        boolean registeredFenced = sessions.values().stream().allMatch(WorkerSession::isFenced);
-        return registeredFenced
-                && livingWorkers.get().stream()
-                        .allMatch(w -> sessions.containsKey(w) && sessions.get(w).isFenced());
-    }
-
-    /** Takes the workers of the pool's hosts that are up, read after the take-over. */
-    void onLivingWorkers(Set<WorkerId> workers) {
-        livingWorkers = Optional.of(workers);
-    }
-
-    private void onLapsed(WorkerSession session) {
-        WorkerNode node = session.node();
-        if (!node.placements().isEmpty()) {
-            runtime.log().log(
-                    Event.WORKER_LAPSED,
-                    "pool",
-                    service,
-                    "worker",
-                    node.id(),
-                    "runs",
-                    node.placements().size());
-            scheduler.clearRuns(node);
-        }
-        if (!session.isRegistered()) {
-            close(session, "silent and no longer registered");
-        }
-    }
-
-    private void close(WorkerSession session, String reason) {
-        session.close();
-        sessions.remove(session.node().id(), session);
-        scheduler.workerDied(session.node());
-        runtime.log().log(
-                Event.WORKER_GONE,
-                "pool",
-                service,
-                "worker",
-                session.node().id(),
-                "reason",
-                reason);
-        planSoon();
-    }
-
     void handle(SubmissionCall call, Consumer<SubmissionReply> reply) {
         if (stopped) {
             reply.accept(SubmissionReply.of(Outcome.NOT_OWNER, "stopped"));
             return;
         }
         if (!loaded) {
-            reply.accept(SubmissionReply.of(Outcome.UNAVAILABLE, "taking over"));
+            reply.accept(SubmissionReply.of(Outcome.NOT_OWNER, "taking over"));
             return;
         }
         desk.handle(call, reply);
@@ -313,7 +180,7 @@
     @Override
     public void onWritten() {
         desk.onWritten();
-        sessions.values().forEach(WorkerSession::onStored);
+        crew.sessions().forEach(WorkerSession::onStored);
     }
 
     @Override
@@ -402,9 +269,16 @@
         onRightLost("worker " + session.node().id() + " has seen a higher token");
     }
 
+    @Override
+    public void onOtherLife(WorkerSession session, String reason) {
+        crew.lifeEnded(session, reason);
+        planSoon();
+    }
+
     @Override
     public void onDead(WorkerSession session, String reason) {
-        close(session, reason);
+        crew.close(session, reason);
+        planSoon();
     }
 
     // What is decided.
@@ -428,11 +302,8 @@
             return;
         }
         for (Order order : scheduler.plan(now, runtime.clock().now())) {
-            WorkerSession session = sessions.get(order.worker().id());
-            if (session != null && session.node() == order.worker()) {
-                logOrder(order);
-                session.send(order);
-            }
+            logOrder(order);
+            crew.send(order);
         }
         writer.changed();
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordWriter.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordWriter.java
@@ -7,6 +7,7 @@
 import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -23,7 +24,8 @@
 import org.crocusgrade.daemon.log.Event;
 
 /**
- * Writes a pool's records in groups, one transaction at a time.
+ * Writes a pool's records in groups, a few transactions at a time, none of them with a record of
+ * another.
  *
  * <p>Each transaction demands that the owner's key still has the owner's revision, so a deposed
  * owner can neither accept a submission nor change its progress. Each record demands its own last
@@ -43,6 +45,9 @@
 
     private static final int ENTRIES_PER_RECORD = 2;
 
+    /** Most transactions at a time: enough for a surge while the store answers slowly. */
+    private static final int MAX_IN_FLIGHT = 3;
+
     private final Runtime runtime;
     private final ServiceId service;
     private final Tenure tenure;
@@ -51,7 +56,8 @@
     private final Deque<Creation> creations = new ArrayDeque<>();
     private final Deque<TrackedSubmission> expired = new ArrayDeque<>();
     private final Map<SubmissionId, Long> revisions = new HashMap<>();
-    private boolean inFlight;
+    private final Set<TrackedSubmission> beingWritten = new HashSet<>();
+    private int inFlight;
     private boolean stopped;
     private boolean gathering;
     private boolean failing;
@@ -109,7 +115,7 @@
 
     /** Returns whether nothing waits to be written. */
     boolean isIdle() {
-        return !inFlight && creations.isEmpty() && dirty.isEmpty();
+        return inFlight == 0 && creations.isEmpty() && dirty.isEmpty();
     }
 
     /** Writes nothing any more; what waits is told that nobody knows. */
@@ -129,14 +135,18 @@
     }
 
     private void flush() {
-        if (inFlight || stopped) {
-            return;
-        }
-        Batch batch = nextBatch();
-        if (batch.isEmpty()) {
-            return;
+        while (inFlight < MAX_IN_FLIGHT && !stopped) {
+            Batch batch = nextBatch();
+            if (batch.isEmpty()) {
+                return;
+            }
+            send(batch);
         }
-        inFlight = true;
+    }
+
+    private void send(Batch batch) {
+        inFlight++;
+        batch.progress.forEach(p -> beingWritten.add(p.submission));
         runtime.store()
                 .commit(batch.change.build())
                 .emitOn(runtime.loop())
@@ -166,15 +176,21 @@
             if (batch.change.room() < ENTRIES_PER_RECORD) {
                 return;
             }
-            if (submission.outcome().isFinal() == ended) {
+            boolean free = !beingWritten.contains(submission);
+            if (free && submission.outcome().isFinal() == ended) {
                 long revision = revisions.getOrDefault(submission.id(), KeyValueStore.ABSENT);
                 batch.add(submission, revision, Records.progress(service, submission));
             }
         }
     }
 
+    private void end(Batch batch) {
+        inFlight--;
+        batch.progress.forEach(p -> beingWritten.remove(p.submission));
+    }
+
     private void onAnswer(Batch batch, CommitResult result) {
-        inFlight = false;
+        end(batch);
         failing = false;
         if (stopped) {
             batch.creations.forEach(c -> c.done.accept(settle(result)));
@@ -235,7 +251,7 @@
     }
 
     private void onFailure(Batch batch, Throwable failure) {
-        inFlight = false;
+        end(batch);
         failing = true;
         boolean untouched =
                 failure instanceof StoreException e && e.kind() != StoreException.Kind.ANSWER_LOST;
@@ -251,8 +267,9 @@
                 failure.getMessage());
         expired.addAll(batch.expired);
         for (Creation creation : batch.creations) {
-            if (stopped || untouched && !creation.attempted) {
-                creation.done.accept(untouched ? CreateResult.NOT_STORED : CreateResult.UNKNOWN);
+            boolean neverStored = untouched && !creation.attempted;
+            if (stopped || neverStored) {
+                creation.done.accept(neverStored ? CreateResult.NOT_STORED : CreateResult.UNKNOWN);
                 continue;
             }
             creation.attempted |= !untouched;
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/Runtime.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/Runtime.java
@@ -1,14 +1,20 @@
 package org.crocusgrade.daemon.batch;
 
+import java.time.Duration;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import org.crocusgrade.core.port.AdviceService;
 import org.crocusgrade.core.port.Clock;
 import org.crocusgrade.core.port.HostControl;
 import org.crocusgrade.core.port.PlatformFormat;
+import org.crocusgrade.core.port.StoreEntry;
 import org.crocusgrade.core.port.TransactionalStore;
 import org.crocusgrade.core.port.WorkerOrders;
+import org.crocusgrade.daemon.control.PrefixWatcher;
 import org.crocusgrade.daemon.log.Event;
 import org.crocusgrade.daemon.log.EventLog;
 
@@ -21,6 +27,7 @@
  * @param advice the advice service
  * @param format how the platform's records read
  * @param clock the time
+ * @param random spreads pauses
  * @param loop the one thread on which all of this runs
  * @param log where events go
  * @param limits the platform's bounds
@@ -32,6 +39,7 @@
         AdviceService advice,
         PlatformFormat format,
         Clock clock,
+        RandomGenerator random,
         ScheduledExecutorService loop,
         EventLog log,
         Limits limits) {
@@ -42,11 +50,19 @@
         Objects.requireNonNull(hosts);
         Objects.requireNonNull(format);
         Objects.requireNonNull(clock);
+        Objects.requireNonNull(random);
         Objects.requireNonNull(loop);
         Objects.requireNonNull(log);
         Objects.requireNonNull(limits);
     }
 
+    /** Makes a watcher of a prefix on the loop; the listener's failures are logged, not thrown. */
+    PrefixWatcher watcher(
+            String prefix, Duration rest, Consumer<Map<String, StoreEntry>> listener) {
+        return new PrefixWatcher(
+                store, prefix, loop, rest, random, e -> guard(() -> listener.accept(e)));
+    }
+
     /** Runs a step on the loop after some milliseconds; its failure is logged, not thrown. */
     public void after(long millis, Runnable step) {
         loop.schedule(() -> guard(step), millis, TimeUnit.MILLISECONDS);
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/SubmissionGateway.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/SubmissionGateway.java
@@ -28,9 +28,10 @@
     private static final Duration OWNER_TIMEOUT = Duration.ofMillis(1800);
 
     /** The pause before a request is brought to a new owner, in milliseconds. */
-    private static final long REDIRECT_MILLIS = 60;
+    private static final long REDIRECT_MILLIS = 80;
 
-    private static final int MAX_REDIRECTS = 3;
+    /** Together with the pause about the time of a take-over that was prepared. */
+    private static final int MAX_REDIRECTS = 9;
 
     private final Runtime runtime;
     private final DaemonId self;
@@ -58,11 +59,11 @@
 
     private void call(SubmissionCall call, int redirects, Consumer<SubmissionReply> reply) {
         Optional<DaemonId> holder = holders.apply(Duty.pool(call.service()));
+        Consumer<SubmissionReply> next = r -> redirect(call, redirects, r, reply);
         if (holder.isEmpty()) {
-            reply.accept(SubmissionReply.of(Outcome.NOT_OWNER, "pool has no owner"));
+            next.accept(SubmissionReply.of(Outcome.NOT_OWNER, "pool has no owner"));
             return;
         }
-        Consumer<SubmissionReply> next = r -> redirect(call, redirects, r, reply);
         Optional<PoolOwner> owner = owners.apply(call.service());
         if (owner.isPresent()) {
             owner.get().handle(call, next);
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerRegistry.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerRegistry.java
@@ -3,9 +3,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.port.FormatException;
@@ -33,12 +35,7 @@
         this.runtime = runtime;
         this.onChange = onChange;
         watcher =
-                new PrefixWatcher(
-                        runtime.store(),
-                        runtime.format().workerPrefix(),
-                        runtime.loop(),
-                        REST,
-                        e -> runtime.guard(() -> onEntries(e.values())));
+                runtime.watcher(runtime.format().workerPrefix(), REST, e -> onEntries(e.values()));
     }
 
     /** Follows the list, or stops to. */
@@ -75,7 +72,7 @@
     }
 
     private void onEntries(Collection<StoreEntry> entries) {
-        Map<WorkerId, WorkerEntry> found = new HashMap<>();
+        Map<WorkerId, WorkerEntry> found = new TreeMap<>();
         List<StoreEntry> bad = new ArrayList<>();
         for (StoreEntry entry : entries) {
             try {
@@ -90,7 +87,7 @@
         }
         unreadable.clear();
         bad.forEach(e -> unreadable.put(e.key(), e.revision()));
-        workers = Map.copyOf(found);
+        workers = Collections.unmodifiableMap(found);
         onChange.run();
     }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -243,7 +243,7 @@
                         && report.born().isPresent()
                         && report.born().getAsLong() != node.born();
         if (otherLife) {
-            listener.onDead(this, "another life answers");
+            listener.onOtherLife(this, "another life answers");
             return;
         }
         if (failures > 0 && fenced) {
@@ -334,6 +334,9 @@
         /** The worker has seen a higher token than this owner's. */
         void onFencedOff(WorkerSession session);
 
+        /** This life of the worker is over, and another has its name. */
+        void onOtherLife(WorkerSession session, String reason);
+
         /** This life of the worker is over. */
         void onDead(WorkerSession session, String reason);
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/control/PrefixWatcher.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/control/PrefixWatcher.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import org.crocusgrade.core.port.KeyValueStore;
 import org.crocusgrade.core.port.StoreEntry;
 import org.crocusgrade.core.port.WatchResult;
@@ -26,6 +27,7 @@
     private final KeyValueStore store;
     private final String prefix;
     private final Duration rest;
+    private final RandomGenerator random;
     private final ScheduledExecutorService executor;
     private final Consumer<Map<String, StoreEntry>> listener;
     private final Map<String, StoreEntry> entries = new HashMap<>();
@@ -39,7 +41,7 @@
             String prefix,
             ScheduledExecutorService executor,
             Consumer<Map<String, StoreEntry>> listener) {
-        this(store, prefix, executor, Duration.ZERO, listener);
+        this(store, prefix, executor, Duration.ZERO, ThreadLocalRandom.current(), listener);
     }
 
     /**
@@ -47,14 +49,17 @@
      *
      * @param rest the pause after a change before the next watch, so that busy prefixes cost few
      *     calls
+     * @param random spreads the pauses after failures
      */
     public PrefixWatcher(
             KeyValueStore store,
             String prefix,
             ScheduledExecutorService executor,
             Duration rest,
+            RandomGenerator random,
             Consumer<Map<String, StoreEntry>> listener) {
         this.rest = Objects.requireNonNull(rest);
+        this.random = Objects.requireNonNull(random);
         this.store = Objects.requireNonNull(store);
         this.prefix = Objects.requireNonNull(prefix);
         this.executor = Objects.requireNonNull(executor);
@@ -145,7 +150,7 @@
         logger.atFine().log("watch: %s failed: %s", prefix, failure.getMessage());
         failures = Math.min(failures + 1, Integer.SIZE - 1);
         long most = Math.min(MAX_PAUSE.toMillis(), MIN_PAUSE.toMillis() << Math.min(failures, 8));
-        long pause = ThreadLocalRandom.current().nextLong(MIN_PAUSE.toMillis(), most + 1);
+        long pause = random.nextLong(MIN_PAUSE.toMillis(), most + 1);
         executor.schedule(this::list, pause, TimeUnit.MILLISECONDS);
     }
 }
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FaultyDaysTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FaultyDaysTest.java
@@ -22,9 +22,11 @@
     private static final long ROUND_MILLIS = 1000;
     private static final long CALM_MILLIS = 40_000;
 
+    /** Other seeds can be asked for by {@code -Dsim.first} and {@code -Dsim.last}. */
     static List<Long> seeds() {
         List<Long> seeds = new ArrayList<>();
-        for (long seed = 1; seed <= SEEDS; seed++) {
+        long last = Long.getLong("sim.last", SEEDS);
+        for (long seed = Long.getLong("sim.first", 1); seed <= last; seed++) {
             seeds.add(seed);
         }
         return seeds;
@@ -65,7 +67,9 @@
         SimWorker worker =
                 List.copyOf(fleet.workers.values()).get(fleet.random.nextInt(fleet.workers.size()));
         SimFleet.Daemon holder = fleet.holder();
-        switch (fleet.random.nextInt(14)) {
+        int kind = fleet.random.nextInt(14);
+        fleet.note("fault " + kind + " holder " + holder.name + " worker " + worker.id);
+        switch (kind) {
             case 0 -> killFor(fleet, holder.name, 500 + fleet.random.nextInt(4000));
             case 1 -> holder.loop.freeze(1000 + fleet.random.nextInt(6000));
             case 2 -> {
--- /dev/null
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/RecordWriterTest.java
@@ -0,0 +1,181 @@
+package org.crocusgrade.daemon.batch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.crocusgrade.core.id.QueueId;
+import org.crocusgrade.core.id.ServiceId;
+import org.crocusgrade.core.schedule.TrackedSubmission;
+import org.crocusgrade.core.submission.Resources;
+import org.crocusgrade.core.submission.StepSpec;
+import org.crocusgrade.core.submission.SubmissionId;
+import org.crocusgrade.core.submission.SubmissionSpec;
+import org.crocusgrade.core.submission.SubmissionState;
+import org.crocusgrade.daemon.batch.RecordWriter.CreateResult;
+import org.crocusgrade.daemon.log.EventLog;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What may be said of a record when the store's answers are lost, late or refused. */
+class RecordWriterTest implements RecordWriter.Listener {
+    private static final ServiceId SERVICE = new ServiceId("quotes");
+    private static final String HOLDER = "crocus/holder/pool.quotes";
+
+    private final SimTime time = new SimTime();
+    private final SimStore store = new SimStore(time, new Random(3));
+    private final Set<TrackedSubmission> dirty = new LinkedHashSet<>();
+    private final List<CreateResult> results = new ArrayList<>();
+    private final List<String> lost = new ArrayList<>();
+    private RecordWriter writer;
+
+    @BeforeEach
+    void hold() {
+        store.write(HOLDER, new byte[] {1});
+        long token = store.read(HOLDER).orElseThrow().revision();
+        Runtime runtime =
+                new Runtime(
+                        store.client(),
+                        new SimOrders(time, new Random(1), Map.of()),
+                        new NoHosts(),
+                        null,
+                        new SimFormat(),
+                        time,
+                        new Random(1),
+                        new SimLoop(time),
+                        new EventLog(time),
+                        new Limits(
+                                Duration.ofSeconds(6),
+                                Duration.ofSeconds(120),
+                                Duration.ofSeconds(3),
+                                Duration.ofSeconds(1),
+                                Duration.ofSeconds(6)));
+        Tenure tenure = new Tenure(Duty.pool(SERVICE), HOLDER, token, 1);
+        writer = new RecordWriter(runtime, SERVICE, tenure, dirty, this);
+    }
+
+    @Test
+    void aRecordThatIsStoredIsCreated() {
+        create(submission(1));
+        time.run(20);
+        assertThat(results, contains(CreateResult.CREATED));
+    }
+
+    @Test
+    void anAnswerThatWasLostIsResolvedByWritingAgain() {
+        store.setLostShare(1);
+        create(submission(1));
+        time.run(1000);
+        store.setLostShare(0);
+        time.run(9000);
+        assertThat(results, contains(CreateResult.CREATED));
+    }
+
+    @Test
+    void aStoreThatRefusesHasStoredNothing() {
+        store.setDown(true);
+        create(submission(1));
+        time.run(100);
+        assertThat(results, contains(CreateResult.NOT_STORED));
+    }
+
+    @Test
+    void afterALostAnswerALaterRefusalDoesNotProveThatNothingIsStored() {
+        store.setLostShare(1);
+        create(submission(1));
+        time.run(1640);
+        store.setLostShare(0);
+        store.setDown(true);
+        time.run(11);
+        writer.stop();
+        time.run(3000);
+        assertThat(results, contains(CreateResult.UNKNOWN));
+    }
+
+    @Test
+    void aDeposedOwnerCanStoreNothing() {
+        store.write(HOLDER, new byte[] {2});
+        create(submission(1));
+        time.run(100);
+        assertThat(results, contains(CreateResult.NOT_STORED));
+        assertThat(lost.size(), is(1));
+    }
+
+    @Test
+    void aWriteThatComesLateDoesNotTakeBackANewerOne() {
+        TrackedSubmission submission = submission(1);
+        create(submission);
+        time.run(50);
+        store.setLostShare(1);
+        submission.end(SubmissionState.CANCELLED, time.now());
+        dirty.add(submission);
+        writer.changed();
+        time.run(5);
+        store.setLostShare(0);
+        time.run(10_000);
+        assertThat(submission.visibleState(), is(SubmissionState.CANCELLED));
+        assertThat(dirty, empty());
+        long revision = store.read(StoreKeys.progress(submission.id())).orElseThrow().revision();
+        time.run(10_000);
+        assertThat(
+                store.read(StoreKeys.progress(submission.id())).orElseThrow().revision(),
+                is(revision));
+    }
+
+    private void create(TrackedSubmission submission) {
+        writer.create(submission, new byte[] {7}, results::add);
+    }
+
+    private TrackedSubmission submission(int number) {
+        StepSpec step =
+                new StepSpec(
+                        1,
+                        new Resources(1000, 512, 0),
+                        Duration.ofSeconds(1),
+                        List.of(),
+                        false,
+                        false,
+                        Optional.empty(),
+                        Optional.empty(),
+                        0,
+                        false,
+                        false,
+                        false,
+                        Optional.empty(),
+                        Optional.empty(),
+                        false,
+                        0);
+        return new TrackedSubmission(
+                new SubmissionId(String.format("%016x", number)),
+                new QueueId("quote"),
+                new SubmissionSpec("payload", List.of(step), Optional.empty()),
+                3,
+                time.now(),
+                time.nanoTime(),
+                false);
+    }
+
+    @Override
+    public void onWritten() {
+        // The tests look at what is stored.
+    }
+
+    @Override
+    public void onExpired(TrackedSubmission submission) {
+        // Nothing expires here.
+    }
+
+    @Override
+    public void onRightLost(String reason) {
+        lost.add(reason);
+    }
+}
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
@@ -1,5 +1,6 @@
 package org.crocusgrade.daemon.batch;
 
+import com.google.common.flogger.FluentLogger;
 import io.smallrye.mutiny.Uni;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -11,25 +12,15 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
-import org.crocusgrade.core.config.PoolPolicy;
-import org.crocusgrade.core.config.QueueRoute;
-import org.crocusgrade.core.config.QueueTable;
 import org.crocusgrade.core.id.BootId;
 import org.crocusgrade.core.id.DaemonId;
 import org.crocusgrade.core.id.HostId;
 import org.crocusgrade.core.id.QueueId;
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.core.id.WorkerId;
-import org.crocusgrade.core.maintenance.WaveRequest;
-import org.crocusgrade.core.port.FormatException;
 import org.crocusgrade.core.port.HostControl;
-import org.crocusgrade.core.port.PlatformFormat;
-import org.crocusgrade.core.port.StoreEntry;
-import org.crocusgrade.core.port.WorkerEntry;
 import org.crocusgrade.core.submission.Resources;
-import org.crocusgrade.core.submission.StepSpec;
 import org.crocusgrade.core.submission.SubmissionId;
-import org.crocusgrade.core.submission.SubmissionSpec;
 import org.crocusgrade.core.submission.SubmissionState;
 import org.crocusgrade.daemon.batch.SubmissionCall.Operation;
 import org.crocusgrade.daemon.batch.SubmissionReply.Outcome;
@@ -40,13 +31,14 @@
 
 /** Some daemons, a store and workers in one simulation on a seed. */
 final class SimFleet {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     static final ServiceId SERVICE = new ServiceId("quotes");
     static final QueueId QUEUE = new QueueId("quote");
     static final long TASK_MILLIS = 700;
 
     private static final int WORKERS = 4;
     private static final int DAEMONS = 3;
-    private static final Resources CAPACITY = new Resources(8000, 65_536, 0);
+    static final Resources CAPACITY = new Resources(8000, 65_536, 0);
 
     final SimTime time = new SimTime();
     final Random random;
@@ -73,6 +65,11 @@
         time.run(4000);
     }
 
+    /** Writes a line beside those of the daemons. */
+    void note(String text) {
+        logger.atInfo().log("ts=%s %s", time.now(), text);
+    }
+
     void register(SimWorker worker) {
         byte[] born = Long.toString(worker.born()).getBytes(StandardCharsets.UTF_8);
         store.write("servers/" + worker.id, born);
@@ -181,8 +178,9 @@
                             orders,
                             new Hosts(),
                             null,
-                            new Format(),
+                            new SimFormat(),
                             time,
+                            random,
                             loop,
                             new EventLog(time),
                             new Limits(
@@ -293,99 +291,4 @@
             return Uni.createFrom().item(Outcome.BUSY);
         }
     }
-
-    /** The simulation's records: a worker's birth as text, a submission's tasks as one byte. */
-    private static final class Format implements PlatformFormat {
-        @Override
-        public String workerPrefix() {
-            return "servers/";
-        }
-
-        @Override
-        public WorkerEntry worker(StoreEntry entry) throws FormatException {
-            return new WorkerEntry(
-                    new WorkerId(entry.key().substring(workerPrefix().length())),
-                    SERVICE,
-                    new InetSocketAddress("127.0.0.1", 8000),
-                    "zone",
-                    false,
-                    Duration.ZERO,
-                    Long.parseLong(entry.text()),
-                    List.of("a", "r1"),
-                    Optional.of("r1"),
-                    CAPACITY,
-                    Optional.empty());
-        }
-
-        @Override
-        public String operatorPrefix() {
-            return "op/";
-        }
-
-        @Override
-        public String configKey() {
-            return "op/config";
-        }
-
-        @Override
-        public QueueTable queues(StoreEntry entry) {
-            QueueRoute route =
-                    new QueueRoute(
-                            QUEUE,
-                            "host",
-                            "/q/",
-                            SERVICE,
-                            0,
-                            3,
-                            20,
-                            Duration.ofSeconds(60),
-                            Duration.ofSeconds(3),
-                            Optional.empty());
-            PoolPolicy policy = new PoolPolicy(SERVICE, true, false);
-            return new QueueTable(1, List.of(route), Map.of(SERVICE, policy));
-        }
-
-        @Override
-        public boolean isWave(String key) {
-            return false;
-        }
-
-        @Override
-        public WaveRequest wave(StoreEntry entry) throws FormatException {
-            throw new FormatException("no waves here");
-        }
-
-        @Override
-        public String waveStatusKey(int wave) {
-            return "status/" + wave;
-        }
-
-        @Override
-        public byte[] waveStatus(boolean completed) {
-            return new byte[0];
-        }
-
-        @Override
-        public SubmissionSpec submission(byte[] body) {
-            StepSpec step =
-                    new StepSpec(
-                            body[0],
-                            new Resources(1000, 512, 0),
-                            Duration.ofMillis(TASK_MILLIS),
-                            List.of(),
-                            false,
-                            false,
-                            Optional.empty(),
-                            Optional.empty(),
-                            0,
-                            false,
-                            false,
-                            false,
-                            Optional.empty(),
-                            Optional.empty(),
-                            false,
-                            0);
-            return new SubmissionSpec("payload", List.of(step), Optional.empty());
-        }
-    }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFormat.java
@@ -0,0 +1,114 @@
+package org.crocusgrade.daemon.batch;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.crocusgrade.core.config.PoolPolicy;
+import org.crocusgrade.core.config.QueueRoute;
+import org.crocusgrade.core.config.QueueTable;
+import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.maintenance.WaveRequest;
+import org.crocusgrade.core.port.FormatException;
+import org.crocusgrade.core.port.PlatformFormat;
+import org.crocusgrade.core.port.StoreEntry;
+import org.crocusgrade.core.port.WorkerEntry;
+import org.crocusgrade.core.submission.Resources;
+import org.crocusgrade.core.submission.StepSpec;
+import org.crocusgrade.core.submission.SubmissionSpec;
+
+/** The simulation's records: a worker's birth as text, a submission's tasks as one byte. */
+final class SimFormat implements PlatformFormat {
+    @Override
+    public String workerPrefix() {
+        return "servers/";
+    }
+
+    @Override
+    public WorkerEntry worker(StoreEntry entry) throws FormatException {
+        return new WorkerEntry(
+                new WorkerId(entry.key().substring(workerPrefix().length())),
+                SimFleet.SERVICE,
+                new InetSocketAddress("127.0.0.1", 8000),
+                "zone",
+                false,
+                Duration.ZERO,
+                Long.parseLong(entry.text()),
+                List.of("a", "r1"),
+                Optional.of("r1"),
+                SimFleet.CAPACITY,
+                Optional.empty());
+    }
+
+    @Override
+    public String operatorPrefix() {
+        return "op/";
+    }
+
+    @Override
+    public String configKey() {
+        return "op/config";
+    }
+
+    @Override
+    public QueueTable queues(StoreEntry entry) {
+        QueueRoute route =
+                new QueueRoute(
+                        SimFleet.QUEUE,
+                        "host",
+                        "/q/",
+                        SimFleet.SERVICE,
+                        0,
+                        3,
+                        20,
+                        Duration.ofSeconds(60),
+                        Duration.ofSeconds(3),
+                        Optional.empty());
+        PoolPolicy policy = new PoolPolicy(SimFleet.SERVICE, true, false);
+        return new QueueTable(1, List.of(route), Map.of(SimFleet.SERVICE, policy));
+    }
+
+    @Override
+    public boolean isWave(String key) {
+        return false;
+    }
+
+    @Override
+    public WaveRequest wave(StoreEntry entry) throws FormatException {
+        throw new FormatException("no waves here");
+    }
+
+    @Override
+    public String waveStatusKey(int wave) {
+        return "status/" + wave;
+    }
+
+    @Override
+    public byte[] waveStatus(boolean completed) {
+        return new byte[0];
+    }
+
+    @Override
+    public SubmissionSpec submission(byte[] body) {
+        StepSpec step =
+                new StepSpec(
+                        body[0],
+                        new Resources(1000, 512, 0),
+                        Duration.ofMillis(SimFleet.TASK_MILLIS),
+                        List.of(),
+                        false,
+                        false,
+                        Optional.empty(),
+                        Optional.empty(),
+                        0,
+                        false,
+                        false,
+                        false,
+                        Optional.empty(),
+                        Optional.empty(),
+                        false,
+                        0);
+        return new SubmissionSpec("payload", List.of(step), Optional.empty());
+    }
+}
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimOrders.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimOrders.java
@@ -121,7 +121,7 @@
             time.afterMillis(
                     2000 + random.nextInt(10_000),
                     () -> {
-                        if (worker.life() == life) {
+                        if (worker.life() == life && !worker.isDown()) {
                             carry.carry(worker, new Mute<>(emitter).emitter());
                         }
                     });
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimWorker.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimWorker.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -30,7 +30,7 @@
             new TreeMap<>((a, b) -> a.toString().compareTo(b.toString()));
     private final List<TaskEnd> ends = new ArrayList<>();
     private final Map<TaskId, Long> refusedUpTo = new HashMap<>();
-    private final Set<Runnable> waiting = new HashSet<>();
+    private final Set<Runnable> waiting = new LinkedHashSet<>();
     private long fence;
     private long born;
     private long bornNanos;
@@ -79,9 +79,8 @@
 
     /** It starts again under its name and knows nothing. */
     void begin() {
-        life++;
+        crash();
         down = false;
-        running.clear();
         ends.clear();
         refusedUpTo.clear();
         fence = 0;
