--- a/daemon/src/main/java/org/crocusgrade/daemon/log/EventLog.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/log/EventLog.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLongArray;
 import org.crocusgrade.core.port.Clock;
 
 /**
@@ -18,6 +19,7 @@
 
     private final Clock clock;
     private final Map<Event, Window> windows = new EnumMap<>(Event.class);
+    private final AtomicLongArray counts = new AtomicLongArray(Event.values().length);
 
     /** Makes a log. */
     public EventLog(Clock clock) {
@@ -30,6 +32,7 @@
      * @param pairs keys and values by turns
      */
     public void log(Event event, Object... pairs) {
+        counts.incrementAndGet(event.ordinal());
         long left = admit(event);
         if (left < 0) {
             return;
@@ -48,6 +51,11 @@
         logger.at(event.level()).log("%s", line);
     }
 
+    /** Returns how often an event has happened, logged or not. */
+    public long count(Event event) {
+        return counts.get(event.ordinal());
+    }
+
     /** Returns the lines left out since the last, or a negative number to leave this one out. */
     private synchronized long admit(Event event) {
         long now = clock.nanoTime();
