Stop extending leases of a worker that does not answer

Each retry of the waiting call moved the end of the lease that the owner had to wait for, so it never came. Ruled out: a task without a place (others of its pool had room), an order without an answer. Change: only an answered call is followed by an extension. Figures: the new test of a dark worker fails before and passes after.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -219,7 +219,7 @@
         }
         holding = true;
         OptionalLong lease = OptionalLong.empty();
-        if (calibrated && listener.mayExtend()) {
+        if (calibrated && failures == 0 && listener.mayExtend()) {
             extendTo(leaseEnd());
             lease = OptionalLong.of(leaseUntilMillis);
         }
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FaultyDaysTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FaultyDaysTest.java
@@ -46,6 +46,17 @@
         assertThat(fleet.checks.starts(), is(50));
     }
 
+    @Test
+    void tasksOfADarkWorkerStartElsewhereOnceTheirLeasesHaveRunOut() {
+        SimFleet fleet = new SimFleet(1);
+        fleet.submit(30);
+        fleet.time.run(300);
+        fleet.workers.values().iterator().next().setDark(true);
+        fleet.time.run(9000);
+        assertThat(fleet.unfinished(), empty());
+        assertThat(fleet.checks.breaches(), empty());
+    }
+
     @ParameterizedTest
     @MethodSource("seeds")
     void aDayOfFaultsKeepsThePromises(long seed) {
