Stop runs that stand still, and leave their workers alone for a while

Cause: some workers take all they are given and let it stand; until now their tasks waited for the end of the trouble. Change: a run that takes three times what its kind takes and 1.5 s more, or a long-running task that is not at work 2.5 s after its start, is stopped and starts again; a worker with two of them gets nothing new for 4 s. Tasks that only take what others leave are not judged, and those that may be far from their data get three times as long. Ruled out: judging by estimates before runs of the queue were seen, since estimates are far off.

--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -47,7 +47,7 @@
     public PoolScheduler(long term, RouteLookup routes) {
         pool = new PoolState(term);
         intake = new ReportIntake(pool, times);
-        stops = new StopPlanner(pool, intake);
+        stops = new StopPlanner(pool, intake, times);
         starts = new StartPlanner(pool, outlook, routes);
     }
 
--- a/core/src/main/java/org/crocusgrade/core/schedule/RunTimeModel.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/RunTimeModel.java
@@ -29,6 +29,12 @@
         queues.computeIfAbsent(queue, q -> new Learned()).add(log, logEstimate(step));
     }
 
+    /** Returns whether enough runs of a queue were seen to say what is usual. */
+    public boolean isLearned(QueueId queue) {
+        Learned learned = queues.get(queue);
+        return learned != null && learned.runs >= ENOUGH_RUNS;
+    }
+
     /** Returns the predicted run time of a task, in milliseconds. */
     public double predictMillis(QueueId queue, StepSpec step) {
         Learned learned = queues.get(queue);
--- a/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
@@ -20,13 +20,35 @@
     /** How long a start may be on its way before it counts as unanswered, in nanoseconds. */
     private static final long START_PATIENCE_NANOS = 2_000_000_000L;
 
+    /** A run that takes longer than this multiple of what was predicted stands still. */
+    private static final double STALL_FACTOR = 3.0;
+
+    /** How much longer a run may take away from its data or its step's rack. */
+    private static final double REMOTE_FACTOR = 3.0;
+
+    /** What a run may take besides, for its start and a rough prediction, in milliseconds. */
+    private static final double STALL_SLACK_MILLIS = 1500;
+
+    /** How long a long-running task may take to come to work, in nanoseconds. */
+    private static final long SETTLE_NANOS = 2_500_000_000L;
+
+    /** Runs in a row that stand still or fail after which a worker gets nothing new. */
+    private static final int DISTRUST_STALLS = 2;
+
+    /** How long such a worker gets nothing new, in nanoseconds. */
+    private static final long DISTRUST_NANOS = 4_000_000_000L;
+
+    private static final double NANOS_PER_MILLI = 1e6;
+
     private final PoolState pool;
+    private final RunTimeModel times;
     private final ReportIntake intake;
     private final Placer placer;
     private final Map<RunName, Long> unwantedSent = new HashMap<>();
 
-    StopPlanner(PoolState pool, ReportIntake intake) {
+    StopPlanner(PoolState pool, ReportIntake intake, RunTimeModel times) {
         this.pool = pool;
+        this.times = times;
         this.intake = intake;
         placer = new Placer(pool);
     }
@@ -74,7 +96,35 @@
         boolean ended = task.isDone() || task.step().submission().outcome().isFinal();
         if (ended || mayEvacuate(placement, now)) {
             placement.enter(Phase.STOPPING, now);
+            return;
+        }
+        if (isStalled(placement, now)) {
+            placement.enter(Phase.STOPPING, now);
+            if (placement.worker().noteFailure() >= DISTRUST_STALLS) {
+                placement.worker().distrustUntil(now + DISTRUST_NANOS);
+            }
+        }
+    }
+
+    private boolean isStalled(Placement placement, long now) {
+        StepRun step = placement.task().step();
+        if (placement.worker().isSilent() || !placement.isListed()) {
+            return false;
+        }
+        if (step.spec().longRunning()) {
+            return !placement.isAtWork()
+                    && now - placement.orderedNanos() > SETTLE_NANOS
+                    && now - placement.percentNanos() > SETTLE_NANOS;
+        }
+        if (step.spec().opportunistic()) {
+            return false;
         }
+        double predicted = times.predictMillis(step.submission().queue(), step.spec());
+        boolean mayBeRemote = step.spec().rackLocal() || step.spec().dataRack().isPresent();
+        double factor = mayBeRemote ? STALL_FACTOR * REMOTE_FACTOR : STALL_FACTOR;
+        double limit = predicted * factor + STALL_SLACK_MILLIS;
+        return times.isLearned(step.submission().queue())
+                && (now - placement.orderedNanos()) / NANOS_PER_MILLI > limit;
     }
 
     /** A long-running task leaves only while its step can miss another, and for a free place. */
--- a/core/src/test/java/org/crocusgrade/core/schedule/PoolSchedulerTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/PoolSchedulerTest.java
@@ -280,6 +280,40 @@
         assertThat(pool.stops(), empty());
     }
 
+    @Test
+    void aRunThatTakesFarLongerThanItsKindIsStoppedAndItsWorkerLeftAlone() {
+        WorkerNode sound = pool.worker("w1", "r1");
+        for (int i = 1; i <= 10; i++) {
+            pool.submit(false, step(1, 1000));
+            Placement run = pool.startAll().get(0);
+            pool.advance(Duration.ofMillis(1000));
+            pool.report(sound, end(i, run, How.DONE));
+        }
+        sound.setDraining(true);
+        WorkerNode hung = pool.worker("w2", "r2");
+        pool.submit(false, step(2, 1000));
+        assertThat(pool.startAll(), hasSize(2));
+        pool.report(hung);
+        pool.advance(Duration.ofMillis(2000));
+        assertThat(pool.stops(), empty());
+        pool.advance(Duration.ofMillis(3000));
+        assertThat(pool.stops(), hasSize(2));
+        assertThat(hung.takesWork(pool.now()), is(false));
+    }
+
+    @Test
+    void aLongRunningTaskThatDoesNotComeToWorkStartsElsewhere() {
+        WorkerNode hung = pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(1, 1000).longRunning(1).build());
+        Placement placement = pool.startAll().get(0);
+        TaskRun idle = new TaskRun(placement.task().id(), placement.run(), "", 0, 0);
+        pool.list(hung, List.of(idle));
+        pool.advance(Duration.ofMillis(1500));
+        assertThat(pool.stops(), empty());
+        pool.advance(Duration.ofMillis(1500));
+        assertThat(pool.stops(), hasSize(1));
+    }
+
     @Test
     void whatRanOnADeadWorkerStartsElsewhere() {
         WorkerNode dead = pool.worker("w1", "r1");
