Keep hosts in each pool, count what a pool had lately, tell bad workers from bad submissions

And four failed runs in a row made a worker shunned, though one submission that always fails has as many. Change: no pool gives hosts to standby below half of an even share; half of the most that a pool had within some seconds counts for admission, and callers are sent away for 15 s at most; failures are counted by submission; a task that was stopped for standing still gets twice as long the next time.

--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolBalancer.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolBalancer.java
@@ -41,6 +41,9 @@
     /** How long a host that came to a pool stays at least, in seconds. */
     private static final double DWELL_SECONDS = 2.0;
 
+    /** The part of an even share of all hosts below which no host of a pool goes to standby. */
+    private static final double KEPT_SHARE = 0.5;
+
     /** How long a host is idle before it goes to standby, in seconds. */
     private static final double PARK_SECONDS = 2.5;
 
@@ -193,6 +196,9 @@
                 forecast.next(now)
                         .map(n -> forecast.peak(n.pool()) - spareOf(n.pool(), spare))
                         .orElse(0.0);
+        double kept = KEPT_SHARE * hosts.size() / Math.max(1, needs.size());
+        Map<ServiceId, Integer> left = new HashMap<>();
+        hosts.forEach(h -> left.merge(h.pool(), 1, Integer::sum));
         for (HostView host : hosts) {
             boolean idle =
                     host.state() == State.UP
@@ -203,11 +209,15 @@
             if (!idle || spareOf(host.pool(), spare) < (1 + SPARE_HOSTS) * cores(host)) {
                 continue;
             }
+            if (left.get(host.pool()) - 1 < kept) {
+                continue;
+            }
             if (keep > 0) {
                 keep -= cores(host);
                 continue;
             }
             spare.merge(host.pool(), -cores(host), Double::sum);
+            left.merge(host.pool(), -1, Integer::sum);
             moves.add(new Move(host.host(), standby.get()));
         }
     }
--- a/core/src/main/java/org/crocusgrade/core/schedule/Admission.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Admission.java
@@ -20,6 +20,9 @@
     /** Ends later than this multiple of the objective are worth nothing. */
     private static final double WORTHLESS_AFTER = 3.0;
 
+    /** The longest time that callers are sent away: capacity follows demand within seconds. */
+    private static final long LONGEST_RETRY_SECONDS = 15;
+
     private static final double NANOS_PER_MILLI = 1e6;
     private static final long MILLIS_PER_SECOND = 1000;
 
@@ -49,6 +52,7 @@
             return Optional.empty();
         }
         long seconds = (long) Math.ceil((end - limit) / MILLIS_PER_SECOND);
-        return Optional.of(Duration.ofSeconds(Math.max(1, seconds)));
+        return Optional.of(
+                Duration.ofSeconds(Math.max(1, Math.min(seconds, LONGEST_RETRY_SECONDS))));
     }
 }
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -37,6 +37,7 @@
     private final StopPlanner stops;
     private final StartPlanner starts;
     private final ArrivalMeter arrivals = new ArrivalMeter();
+    private final CapacityMemory capacity = new CapacityMemory();
 
     /**
      * Makes a scheduler without submissions and workers.
@@ -186,6 +187,7 @@
 
     /** Returns the orders that are due. */
     public List<Order> plan(long now, Instant wall) {
+        capacity.countedOn(batchCores(now), now);
         List<Order> orders = new ArrayList<>(stops.plan(now));
         orders.addAll(starts.plan(now, wall));
         return orders;
@@ -207,7 +209,8 @@
                 ahead += work;
             }
         }
-        return admission.refuse(route, spec, ahead, batchCores(now));
+        double cores = capacity.countedOn(batchCores(now), now);
+        return admission.refuse(route, spec, ahead, cores);
     }
 
     /** Returns the processors that serve submissions that end, in cores. */
--- a/core/src/main/java/org/crocusgrade/core/schedule/ReportIntake.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/ReportIntake.java
@@ -26,8 +26,8 @@
     /** Ends in one list from which on more may have been left out. */
     private static final int FULL_LIST = 500;
 
-    /** Failed runs in a row, each of another submission or not, after which a worker is shunned. */
-    private static final int DISTRUST_FAILURES = 4;
+    /** Submissions whose runs fail in a row after which a worker is left alone for a while. */
+    private static final int DISTRUST_FAILURES = 3;
 
     /** How long a worker that fails all it starts gets nothing, in nanoseconds. */
     private static final long DISTRUST_NANOS = 3_000_000_000L;
@@ -148,7 +148,7 @@
                 complete(task, wall);
             }
             case FAILED -> {
-                if (worker.noteFailure() >= DISTRUST_FAILURES) {
+                if (worker.noteFailure(end.task().step().submission()) >= DISTRUST_FAILURES) {
                     worker.distrustUntil(now + DISTRUST_NANOS);
                 }
                 fail(task, end.run(), now, wall);
--- a/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.crocusgrade.core.schedule.Placement.Phase;
 import org.crocusgrade.core.schedule.ReportIntake.RunName;
+import org.crocusgrade.core.submission.SubmissionId;
 
 /**
  * Decides which runs are stopped: those of ended submissions, copies of done tasks, runs whose
@@ -32,7 +33,7 @@
     /** How long a long-running task may take to come to work, in nanoseconds. */
     private static final long SETTLE_NANOS = 2_500_000_000L;
 
-    /** Runs in a row that stand still or fail after which a worker gets nothing new. */
+    /** Submissions whose runs stand still or fail in a row after which a worker gets nothing. */
     private static final int DISTRUST_STALLS = 2;
 
     /** How long such a worker gets nothing new, in nanoseconds. */
@@ -100,7 +101,9 @@
         }
         if (isStalled(placement, now)) {
             placement.enter(Phase.STOPPING, now);
-            if (placement.worker().noteFailure() >= DISTRUST_STALLS) {
+            placement.task().noteStall();
+            SubmissionId submission = placement.task().step().submission().id();
+            if (placement.worker().noteFailure(submission) >= DISTRUST_STALLS) {
                 placement.worker().distrustUntil(now + DISTRUST_NANOS);
             }
         }
@@ -122,7 +125,7 @@
         double predicted = times.predictMillis(step.submission().queue(), step.spec());
         boolean mayBeRemote = step.spec().rackLocal() || step.spec().dataRack().isPresent();
         double factor = mayBeRemote ? STALL_FACTOR * REMOTE_FACTOR : STALL_FACTOR;
-        double limit = predicted * factor + STALL_SLACK_MILLIS;
+        double limit = (predicted * factor + STALL_SLACK_MILLIS) * (1 << placement.task().stalls());
         return times.isLearned(step.submission().queue())
                 && (now - placement.orderedNanos()) / NANOS_PER_MILLI > limit;
     }
--- a/core/src/main/java/org/crocusgrade/core/schedule/Task.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Task.java
@@ -9,11 +9,15 @@
 
 /** One task of a submission: what is durable of it, and where its runs are. */
 public final class Task {
+    /** Stops beyond this many no longer raise the time that a run gets. */
+    private static final int MAX_STALLS = 10;
+
     private final StepRun step;
     private final TaskId id;
     private final SortedSet<Long> failedRuns = new TreeSet<>();
     private final List<Placement> placements = new ArrayList<>(1);
     private boolean done;
+    private int stalls;
     private long lastRun;
     private String checkpoint = "";
     private long notBeforeNanos = Long.MIN_VALUE;
@@ -83,6 +87,15 @@
         notBeforeNanos = nanos;
     }
 
+    /** Returns how often a run was stopped because it stood still. */
+    int stalls() {
+        return stalls;
+    }
+
+    void noteStall() {
+        stalls = Math.min(stalls + 1, MAX_STALLS);
+    }
+
     /** Returns whether a run may begin: none is going on, none was done, and no pause holds. */
     boolean isStartable(long now) {
         return !done
--- a/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Deque;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -11,6 +12,7 @@
 import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.submission.Resources;
 import org.crocusgrade.core.submission.StepId;
+import org.crocusgrade.core.submission.SubmissionId;
 import org.crocusgrade.core.submission.TaskId;
 
 /** One life of a worker, as the owner of its pool sees it. */
@@ -32,7 +34,7 @@
     private long lastEnd;
     private long ackCursor;
     private long distrustedUntilNanos = Long.MIN_VALUE;
-    private int failuresInRow;
+    private final Set<SubmissionId> failedInRow = new HashSet<>();
     private int longRunning;
 
     /**
@@ -170,15 +172,22 @@
 
     void distrustUntil(long nanos) {
         distrustedUntilNanos = nanos;
-        failuresInRow = 0;
+        failedInRow.clear();
     }
 
-    int noteFailure() {
-        return ++failuresInRow;
+    /**
+     * Takes a run that failed or stood still. A submission may be at fault itself, so submissions
+     * are counted and not runs.
+     *
+     * @return of how many submissions runs have failed here since the last success
+     */
+    int noteFailure(SubmissionId submission) {
+        failedInRow.add(submission);
+        return failedInRow.size();
     }
 
     void noteSuccess() {
-        failuresInRow = 0;
+        failedInRow.clear();
         distrustedUntilNanos = Long.MIN_VALUE;
     }
 
