Replace silent connections between daemons; give duties to daemons that were restarted already

Cause: a connection may fall silent without an end; calls between daemons had deadlines, but the link never dialed anew. And in a rolling restart duties went to daemons that were still to be restarted, so each moved several times. A daemon that was restarted while others were not counts as having one duty less. Ruled out: probes of the system's keep-alive alone (unacknowledged bytes keep them from being sent).

--- /dev/null
+++ b/core/src/test/java/org/crocusgrade/core/member/DutyRankTest.java
@@ -0,0 +1,49 @@
+package org.crocusgrade.core.member;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import org.crocusgrade.core.id.DaemonId;
+import org.junit.jupiter.api.Test;
+
+/** Who takes a duty, on calm days and while daemons are restarted in turn. */
+class DutyRankTest {
+    private static final DaemonId A = new DaemonId("a");
+    private static final DaemonId B = new DaemonId("b");
+    private static final DaemonId C = new DaemonId("c");
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+
+    @Test
+    void daemonsWithFewerDutiesComeFirst() {
+        Map<DaemonId, Instant> started = Map.of(A, START, B, START, C, START);
+        List<DaemonId> order = order(started, List.of(A, A, B), 100);
+        assertThat(order, contains(C, B, A));
+    }
+
+    @Test
+    void whileDaemonsAreRestartedInTurnTheRestartedComeFirst() {
+        Map<DaemonId, Instant> started = Map.of(A, START.plusSeconds(100), B, START, C, START);
+        assertThat(order(started, List.of(A, B), 103).get(0), is(A == first() ? A : C));
+        assertThat(order(started, List.of(), 103).get(0), is(A));
+    }
+
+    @Test
+    void aRestartLongAgoCountsNoMore() {
+        Map<DaemonId, Instant> started = Map.of(A, START.plusSeconds(100), B, START, C, START);
+        assertThat(order(started, List.of(A), 200).get(2), is(A));
+    }
+
+    /** Returns who of a and c comes first when both count the same. */
+    private static DaemonId first() {
+        return Rendezvous.ranked("pool.x", List.of(A, C)).get(0);
+    }
+
+    private static List<DaemonId> order(
+            Map<DaemonId, Instant> started, List<DaemonId> holders, long seconds) {
+        return DutyRank.order("pool.x", started, holders, START.plusSeconds(seconds));
+    }
+}
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
@@ -318,6 +318,7 @@
         if (duties == null) {
             return;
         }
+        peers.tick();
         fleet.tick();
         Optional<DaemonId> holder = duties.holder(Duty.FLEET);
         if (holder.isEmpty()) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyKeeper.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyKeeper.java
@@ -4,8 +4,7 @@
 import io.smallrye.mutiny.Uni;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Comparator;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -16,7 +15,7 @@
 import java.util.TreeSet;
 import org.crocusgrade.core.id.BootId;
 import org.crocusgrade.core.id.DaemonId;
-import org.crocusgrade.core.member.Rendezvous;
+import org.crocusgrade.core.member.DutyRank;
 import org.crocusgrade.core.misc.Addresses;
 import org.crocusgrade.core.port.CommitResult;
 import org.crocusgrade.core.port.KeyValueStore;
@@ -69,7 +68,7 @@
     private final Map<Duty, Long> missingSince = new HashMap<>();
     private final Set<Duty> claiming = new HashSet<>();
     private Map<String, StoreEntry> entries = Map.of();
-    private Map<DaemonId, InetSocketAddress> daemons = Map.of();
+    private Map<DaemonId, Instant> started = Map.of();
     private Map<Duty, Holder> holders = Map.of();
     private Set<Duty> wanted = Set.of();
     private Optional<LeaseId> lease = Optional.empty();
@@ -103,6 +102,7 @@
                         .setBoot(boot.value())
                         .setAddress(Addresses.format(peerAddress))
                         .setZone(zone)
+                        .setStartedEpochMs(runtime.clock().now().toEpochMilli())
                         .build()
                         .toByteArray();
         watcher = runtime.watcher(StoreKeys.COORDINATION, Duration.ZERO, this::onEntries);
@@ -287,11 +287,12 @@
     private void onEntries(Map<String, StoreEntry> now) {
         entries = now;
         Map<DaemonId, InetSocketAddress> found = new TreeMap<>();
+        Map<DaemonId, Instant> starts = new TreeMap<>();
         Map<Duty, Holder> held = new TreeMap<>();
         for (StoreEntry entry : now.values()) {
-            read(entry, found, held);
+            read(entry, found, starts, held);
         }
-        daemons = found;
+        started = starts;
         holders = held;
         listener.onDaemons(found);
         for (Tenure tenure : List.copyOf(tenures.values())) {
@@ -305,12 +306,16 @@
     }
 
     private void read(
-            StoreEntry entry, Map<DaemonId, InetSocketAddress> found, Map<Duty, Holder> held) {
+            StoreEntry entry,
+            Map<DaemonId, InetSocketAddress> found,
+            Map<DaemonId, Instant> starts,
+            Map<Duty, Holder> held) {
         try {
             if (entry.key().startsWith(StoreKeys.DAEMONS)) {
                 String name = entry.key().substring(StoreKeys.DAEMONS.length());
                 StoredDaemon daemon = StoredDaemon.parseFrom(entry.value());
                 found.put(new DaemonId(name), Addresses.parse(daemon.getAddress()));
+                starts.put(new DaemonId(name), Instant.ofEpochMilli(daemon.getStartedEpochMs()));
             } else if (entry.key().startsWith(StoreKeys.HOLDERS)) {
                 String name = entry.key().substring(StoreKeys.HOLDERS.length());
                 StoredHolder holder = StoredHolder.parseFrom(entry.value());
@@ -373,10 +378,8 @@
 
     /** Returns this daemon's place among those that may claim a duty, counted from 0. */
     private int rank(Duty duty) {
-        Map<DaemonId, Integer> load = new HashMap<>();
-        holders.values().forEach(h -> load.merge(h.daemon, 1, Integer::sum));
-        List<DaemonId> ranked = new ArrayList<>(Rendezvous.ranked(duty.name(), daemons.keySet()));
-        ranked.sort(Comparator.comparingInt(d -> load.getOrDefault(d, 0)));
+        List<DaemonId> busy = holders.values().stream().map(Holder::daemon).toList();
+        List<DaemonId> ranked = DutyRank.order(duty.name(), started, busy, runtime.clock().now());
         int place = ranked.indexOf(self);
         return place < 0 ? ranked.size() : place;
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PeerCalls.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PeerCalls.java
@@ -37,6 +37,7 @@
     private final Runtime runtime;
     private final Handler handler;
     private final PeerLink node;
+    private final LinkProbes probes;
     private final Map<Long, Consumer<SubmissionReply>> pending = new HashMap<>();
     private final Map<DaemonId, Long> listedNanos = new HashMap<>();
     private long lastCall;
@@ -45,6 +46,12 @@
         this.runtime = runtime;
         this.handler = handler;
         this.node = links.apply(this);
+        probes = new LinkProbes(runtime, node);
+    }
+
+    /** Replaces connections that have fallen silent. */
+    void tick() {
+        probes.tick();
     }
 
     InetSocketAddress start(InetSocketAddress listen) throws PeerException {
@@ -89,16 +96,21 @@
                         .setBody(ByteString.copyFrom(call.body()))
                         .setConfigVersion(call.configVersion())
                         .build();
-        node.send(to, Envelope.newBuilder().setSubmissionCall(message).build());
+        send(to, Envelope.newBuilder().setSubmissionCall(message).build());
         runtime.after(timeout.toMillis(), () -> expire(number));
     }
 
     void send(DaemonId to, PoolStatusMessage status) {
-        node.send(to, Envelope.newBuilder().setPoolStatus(status).build());
+        send(to, Envelope.newBuilder().setPoolStatus(status).build());
     }
 
     void send(DaemonId to, EvacuationMessage evacuation) {
-        node.send(to, Envelope.newBuilder().setEvacuation(evacuation).build());
+        send(to, Envelope.newBuilder().setEvacuation(evacuation).build());
+    }
+
+    private void send(DaemonId to, Envelope message) {
+        probes.used(to);
+        node.send(to, message);
     }
 
     private void expire(long number) {
@@ -124,6 +136,7 @@
             case SUBMISSION_REPLY -> takeReply(message.getSubmissionReply());
             case POOL_STATUS -> handler.onPoolStatus(from, message.getPoolStatus());
             case EVACUATION -> handler.onEvacuation(message.getEvacuation());
+            case LINK_PROBE -> probes.onProbe(from, message.getLinkProbe());
             default -> {
                 // Messages of the request path, which this program does not run.
             }
@@ -154,7 +167,7 @@
                         .setRetryAfterMs(Math.toIntExact(reply.retryAfter().toMillis()))
                         .setReason(reply.reason())
                         .build();
-        node.send(to, Envelope.newBuilder().setSubmissionReply(message).build());
+        send(to, Envelope.newBuilder().setSubmissionReply(message).build());
     }
 
     private void takeReply(SubmissionReplyMessage message) {
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FaultyDaysTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FaultyDaysTest.java
@@ -57,6 +57,25 @@
         assertThat(fleet.checks.breaches(), empty());
     }
 
+    @Test
+    void linksThatFellSilentAreReplaced() {
+        SimFleet fleet = new SimFleet(1);
+        fleet.submit(2);
+        fleet.time.run(2000);
+        fleet.daemons.values().forEach(SimFleet.Daemon::silenceLinks);
+        for (int i = 0; i < 8; i++) {
+            fleet.submit(2);
+            fleet.time.run(500);
+        }
+        fleet.time.run(2000);
+        int before = fleet.accepted.size();
+        for (int i = 0; i < 10; i++) {
+            fleet.submit(2);
+        }
+        fleet.time.run(200);
+        assertThat(fleet.accepted.size(), is(before + 10));
+    }
+
     @ParameterizedTest
     @MethodSource("seeds")
     void aDayOfFaultsKeepsThePromises(long seed) {
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
@@ -6,11 +6,13 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.crocusgrade.core.id.BootId;
 import org.crocusgrade.core.id.DaemonId;
@@ -168,6 +170,7 @@
         final SimOrders orders = new SimOrders(time, random, workers);
         final BatchNode node;
         private PeerListener listener;
+        private Link link;
         private boolean dead;
 
         Daemon(DaemonId name, BootId boot) {
@@ -197,10 +200,16 @@
                                     name, boot, "zone", address, Duration.ofMillis(500)),
                             (key, l) -> {
                                 listener = l;
-                                return new Link(name, boot);
+                                link = new Link(name, boot);
+                                return link;
                             });
         }
 
+        /** The connections to other daemons fall silent; new ones work. */
+        void silenceLinks() {
+            link.silent.addAll(daemons.keySet());
+        }
+
         void call(
                 Operation operation,
                 SubmissionId id,
@@ -224,6 +233,7 @@
     private final class Link implements PeerLink {
         private final DaemonId self;
         private final BootId boot;
+        private final Set<DaemonId> silent = new HashSet<>();
 
         Link(DaemonId self, BootId boot) {
             this.self = self;
@@ -245,8 +255,16 @@
             // Daemons of the simulation are found by name.
         }
 
+        @Override
+        public void reconnect(DaemonId peer) {
+            silent.remove(peer);
+        }
+
         @Override
         public void send(DaemonId to, Envelope message) {
+            if (silent.contains(to)) {
+                return;
+            }
             time.afterMillis(
                     1,
                     () -> {
--- a/peer/src/main/java/org/crocusgrade/peer/PeerLink.java
+++ b/peer/src/main/java/org/crocusgrade/peer/PeerLink.java
@@ -20,6 +20,9 @@
     /** Forgets a peer that has left. */
     void removePeer(DaemonId peer);
 
+    /** Ends the connection to a peer, so that the next message goes over a new one. */
+    void reconnect(DaemonId peer);
+
     /** Sends a message, or drops it. */
     void send(DaemonId to, Envelope message);
 
--- a/peer/src/main/java/org/crocusgrade/peer/PeerNode.java
+++ b/peer/src/main/java/org/crocusgrade/peer/PeerNode.java
@@ -114,6 +114,11 @@
         removeConnection(peer);
     }
 
+    @Override
+    public void reconnect(DaemonId peer) {
+        removeConnection(peer);
+    }
+
     /** Sends a message, or drops and counts it. */
     @Override
     public void send(DaemonId to, Envelope message) {
