Find silent connections to the store within two seconds; keep a wave's time over restarts

Cause: a watch waited for 20 s, so a connection to the store that fell silent could hide a configuration for that long; a renewal without an answer took 1.5 of a lease's 2 s; and a restarted holder of the fleet's duty took a wave for new. Change: watches wait 2 s; renewals go out every 0.6 s whatever became of the last; the record of a wave says when it was first seen. Ruled out: more watches at a time (each waiting watch is paid).

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyKeeper.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyKeeper.java
@@ -225,21 +225,18 @@
                         });
     }
 
+    /** Renews at a steady pace, so that one call without an answer does not cost the lease. */
     private void renew(LeaseId held) {
         if (stopped || !lease.equals(Optional.of(held))) {
             return;
         }
+        runtime.after(RENEWAL_MILLIS, () -> renew(held));
         long asked = runtime.clock().nanoTime();
         runtime.store()
                 .renewLease(held)
                 .emitOn(runtime.loop())
                 .subscribe()
-                .with(
-                        v -> {
-                            confirm(asked);
-                            runtime.after(RENEWAL_MILLIS, () -> renew(held));
-                        },
-                        f -> onRenewalFailed(held, f));
+                .with(v -> confirm(asked), f -> onRenewalFailed(held, f));
     }
 
     private void onRenewalFailed(LeaseId held, Throwable failure) {
@@ -247,7 +244,6 @@
                 failure instanceof StoreException e && e.kind() == StoreException.Kind.LEASE_LOST;
         if (!lost) {
             onCallFailed("renew", failure);
-            runtime.after(RETRY_MILLIS, () -> renew(held));
             return;
         }
         if (!lease.equals(Optional.of(held))) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/Runtime.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/Runtime.java
@@ -43,6 +43,12 @@
         ScheduledExecutorService loop,
         EventLog log,
         Limits limits) {
+    /**
+     * How long a watch waits. A connection to the store may fall silent without an end, which only
+     * the end of the wait shows, and a configuration must be in force within two seconds.
+     */
+    private static final Duration WATCH_WAIT = Duration.ofMillis(2000);
+
     /** Checks the fields. */
     public Runtime {
         Objects.requireNonNull(store);
@@ -60,7 +66,13 @@
     PrefixWatcher watcher(
             String prefix, Duration rest, Consumer<Map<String, StoreEntry>> listener) {
         return new PrefixWatcher(
-                store, prefix, loop, rest, random, e -> guard(() -> listener.accept(e)));
+                store,
+                prefix,
+                loop,
+                WATCH_WAIT,
+                rest,
+                random,
+                e -> guard(() -> listener.accept(e)));
     }
 
     /** Runs a step on the loop after some milliseconds; its failure is logged, not thrown. */
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WaveRunner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WaveRunner.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -14,6 +15,7 @@
 import org.crocusgrade.core.maintenance.HostView;
 import org.crocusgrade.core.maintenance.WaveRequest;
 import org.crocusgrade.core.maintenance.WaveSchedule;
+import org.crocusgrade.core.port.Clock;
 import org.crocusgrade.core.port.FormatException;
 import org.crocusgrade.core.port.HostControl.Outcome;
 import org.crocusgrade.core.port.StoreEntry;
@@ -59,7 +61,7 @@
     private void onWave(StoreEntry entry, Map<String, StoreEntry> shared) {
         try {
             WaveRequest request = runtime.format().wave(entry);
-            Wave wave = new Wave(request, runtime.clock().nanoTime());
+            Wave wave = new Wave(request, runtime.clock());
             if (waves.putIfAbsent(request.wave(), wave) == null) {
                 wave.restore(shared.get(StoreKeys.wave(request.wave())));
             }
@@ -246,17 +248,22 @@
     private static final class Wave {
         private static final String SEPARATOR = "\n";
 
+        /** Marks the line that says when the wave was first seen, in Unix milliseconds. */
+        private static final String SEEN = "@";
+
         private final WaveRequest request;
-        private final long seenNanos;
+        private long seenNanos;
+        private long seenEpochMillis;
         private final Set<HostId> done = new TreeSet<>();
         private boolean announced;
         private boolean closed;
         private boolean storing;
         private boolean writing;
 
-        Wave(WaveRequest request, long seenNanos) {
+        Wave(WaveRequest request, Clock clock) {
             this.request = request;
-            this.seenNanos = seenNanos;
+            seenNanos = clock.nanoTime();
+            seenEpochMillis = clock.now().toEpochMilli();
         }
 
         /** Takes what an earlier holder has done. */
@@ -264,17 +271,29 @@
             if (entry == null) {
                 return;
             }
-            for (String host : entry.text().split(SEPARATOR)) {
-                if (!host.isEmpty()) {
-                    done.add(new HostId(host));
+            for (String line : entry.text().split(SEPARATOR)) {
+                if (line.startsWith(SEEN)) {
+                    restoreSeen(Long.parseLong(line.substring(SEEN.length())));
+                } else if (!line.isEmpty()) {
+                    done.add(new HostId(line));
                 }
             }
             announced = true;
         }
 
+        /** A daemon that was restarted sees the wave late, but it is due as it was. */
+        private void restoreSeen(long epochMillis) {
+            if (epochMillis < seenEpochMillis) {
+                seenNanos -= Duration.ofMillis(seenEpochMillis - epochMillis).toNanos();
+                seenEpochMillis = epochMillis;
+            }
+        }
+
         byte[] record() {
-            List<String> names = done.stream().map(HostId::value).toList();
-            return String.join(SEPARATOR, names).getBytes(StandardCharsets.UTF_8);
+            List<String> lines = new ArrayList<>();
+            lines.add(SEEN + seenEpochMillis);
+            done.forEach(h -> lines.add(h.value()));
+            return String.join(SEPARATOR, lines).getBytes(StandardCharsets.UTF_8);
         }
     }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/control/PrefixWatcher.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/control/PrefixWatcher.java
@@ -26,6 +26,7 @@
 
     private final KeyValueStore store;
     private final String prefix;
+    private final Duration wait;
     private final Duration rest;
     private final RandomGenerator random;
     private final ScheduledExecutorService executor;
@@ -41,12 +42,20 @@
             String prefix,
             ScheduledExecutorService executor,
             Consumer<Map<String, StoreEntry>> listener) {
-        this(store, prefix, executor, Duration.ZERO, ThreadLocalRandom.current(), listener);
+        this(
+                store,
+                prefix,
+                executor,
+                WATCH_WAIT,
+                Duration.ZERO,
+                ThreadLocalRandom.current(),
+                listener);
     }
 
     /**
      * Makes a watcher; {@link #start} makes it read.
      *
+     * @param wait how long one watch waits; a connection that falls silent is found after that
      * @param rest the pause after a change before the next watch, so that busy prefixes cost few
      *     calls
      * @param random spreads the pauses after failures
@@ -55,9 +64,11 @@
             KeyValueStore store,
             String prefix,
             ScheduledExecutorService executor,
+            Duration wait,
             Duration rest,
             RandomGenerator random,
             Consumer<Map<String, StoreEntry>> listener) {
+        this.wait = Objects.requireNonNull(wait);
         this.rest = Objects.requireNonNull(rest);
         this.random = Objects.requireNonNull(random);
         this.store = Objects.requireNonNull(store);
@@ -111,7 +122,7 @@
         if (stopped) {
             return;
         }
-        store.watch(prefix, revision, WATCH_WAIT)
+        store.watch(prefix, revision, wait)
                 .emitOn(executor)
                 .subscribe()
                 .with(this::onChange, this::onFailure);
