--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyKeeper.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyKeeper.java
@@ -1,7 +1,6 @@
 package org.crocusgrade.daemon.batch;
 
 import com.google.protobuf.InvalidProtocolBufferException;
-import io.smallrye.mutiny.Uni;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
@@ -19,9 +18,7 @@
 import org.crocusgrade.core.misc.Addresses;
 import org.crocusgrade.core.port.CommitResult;
 import org.crocusgrade.core.port.KeyValueStore;
-import org.crocusgrade.core.port.LeaseId;
 import org.crocusgrade.core.port.StoreEntry;
-import org.crocusgrade.core.port.StoreException;
 import org.crocusgrade.core.port.StoreTransaction;
 import org.crocusgrade.daemon.control.PrefixWatcher;
 import org.crocusgrade.daemon.log.Event;
@@ -30,7 +27,7 @@
 import org.crocusgrade.peer.proto.StoredTerm;
 
 /**
- * Keeps this daemon's lease in the platform's store, and the duties that hang on it.
+ * Keeps the duties that hang on this daemon's lease in the platform's store.
  *
  * <p>A duty without a holder is claimed by one transaction that demands the absence of the holder's
  * key. Who claims first is a matter of rank: daemons with fewer duties come first, then rendezvous
@@ -39,12 +36,6 @@
  * life still seems to hold, since a machine runs one such process at a time.
  */
 final class DutyKeeper {
-    /** How long a daemon's lease lives: a take-over must end before the leases of runs do. */
-    private static final Duration LEASE = Duration.ofMillis(2000);
-
-    /** The time between renewals, so that two may be lost, in milliseconds. */
-    private static final long RENEWAL_MILLIS = 600;
-
     /** The pause after a failed call, in milliseconds. */
     private static final long RETRY_MILLIS = 250;
 
@@ -59,7 +50,7 @@
     private final Runtime runtime;
     private final DaemonId self;
     private final BootId boot;
-    private final byte[] record;
+    private final DaemonLease lease;
     private final Duration settleTime;
     private final Listener listener;
     private final PrefixWatcher watcher;
@@ -71,12 +62,7 @@
     private Map<DaemonId, Instant> started = Map.of();
     private Map<Duty, Holder> holders = Map.of();
     private Set<Duty> wanted = Set.of();
-    private Optional<LeaseId> lease = Optional.empty();
-    private long confirmedNanos;
-    private long registeredNanos;
-    private boolean registered;
     private boolean stopped;
-    private boolean storeLost;
 
     /**
      * Makes a keeper; {@link #start} makes it register.
@@ -97,7 +83,7 @@
         this.boot = boot;
         this.settleTime = settleTime;
         this.listener = listener;
-        record =
+        byte[] record =
                 StoredDaemon.newBuilder()
                         .setBoot(boot.value())
                         .setAddress(Addresses.format(peerAddress))
@@ -105,12 +91,13 @@
                         .setStartedEpochMs(runtime.clock().now().toEpochMilli())
                         .build()
                         .toByteArray();
+        lease = new DaemonLease(runtime, StoreKeys.daemon(self), record, this::onLeaseEnded);
         watcher = runtime.watcher(StoreKeys.COORDINATION, Duration.ZERO, this::onEntries);
     }
 
     void start() {
         watcher.start();
-        grant();
+        lease.start();
         runtime.every(CLAIM_MILLIS, this::claimMissing);
     }
 
@@ -134,7 +121,7 @@
 
     /** Returns whether the store has confirmed this daemon's lease within a time. */
     boolean isConfirmedWithin(Duration age) {
-        return lease.isPresent() && runtime.clock().nanoTime() - confirmedNanos <= age.toNanos();
+        return lease.isConfirmedWithin(age);
     }
 
     /** Gives a duty up because another daemon holds it, or may. */
@@ -154,132 +141,23 @@
         for (Tenure tenure : List.copyOf(tenures.values())) {
             release(tenure);
         }
-        runtime.store()
-                .get(StoreKeys.daemon(self))
-                .onItem()
-                .transformToUni(
-                        e ->
-                                e.isEmpty()
-                                        ? Uni.createFrom().voidItem()
-                                        : runtime.store().delete(e.get().key(), e.get().revision()))
-                .subscribe()
-                .with(v -> {}, f -> onCallFailed("leave", f));
-    }
-
-    private void release(Tenure tenure) {
-        lose(tenure.duty(), "handed back");
-        runtime.store()
-                .delete(tenure.key(), tenure.token())
-                .subscribe()
-                .with(v -> {}, f -> onCallFailed("release " + tenure.duty(), f));
-    }
-
-    // The lease.
-
-    private void grant() {
-        if (stopped) {
-            return;
-        }
-        long asked = runtime.clock().nanoTime();
-        Duration time =
-                LEASE.compareTo(runtime.limits().minStoreLease()) > 0
-                        ? LEASE
-                        : runtime.limits().minStoreLease();
-        runtime.store()
-                .grantLease(time)
-                .emitOn(runtime.loop())
-                .subscribe()
-                .with(
-                        l -> {
-                            lease = Optional.of(l);
-                            confirm(asked);
-                            register(l);
-                            runtime.after(RENEWAL_MILLIS, () -> renew(l));
-                        },
-                        f -> {
-                            onCallFailed("grant", f);
-                            runtime.after(RETRY_MILLIS, this::grant);
-                        });
+        lease.release();
     }
 
-    private void register(LeaseId granted) {
-        if (stopped || !lease.equals(Optional.of(granted))) {
-            return;
-        }
-        StoreTransaction change =
-                StoreTransaction.builder().put(StoreKeys.daemon(self), record, granted).build();
-        runtime.store()
-                .commit(change)
-                .emitOn(runtime.loop())
-                .subscribe()
-                .with(
-                        r -> {
-                            if (!registered) {
-                                registered = true;
-                                registeredNanos = runtime.clock().nanoTime();
-                            }
-                        },
-                        f -> {
-                            onCallFailed("register", f);
-                            runtime.after(RETRY_MILLIS, () -> register(granted));
-                        });
-    }
-
-    /** Renews at a steady pace, so that one call without an answer does not cost the lease. */
-    private void renew(LeaseId held) {
-        if (stopped || !lease.equals(Optional.of(held))) {
-            return;
-        }
-        runtime.after(RENEWAL_MILLIS, () -> renew(held));
-        long asked = runtime.clock().nanoTime();
-        runtime.store()
-                .renewLease(held)
-                .emitOn(runtime.loop())
-                .subscribe()
-                .with(v -> confirm(asked), f -> onRenewalFailed(held, f));
-    }
-
-    private void onRenewalFailed(LeaseId held, Throwable failure) {
-        boolean lost =
-                failure instanceof StoreException e && e.kind() == StoreException.Kind.LEASE_LOST;
-        if (!lost) {
-            onCallFailed("renew", failure);
-            return;
-        }
-        if (!lease.equals(Optional.of(held))) {
-            return;
-        }
-        lease = Optional.empty();
+    private void onLeaseEnded() {
         for (Duty duty : List.copyOf(tenures.keySet())) {
             lose(duty, "lease ended");
         }
-        grant();
     }
 
-    private void confirm(long askedNanos) {
-        confirmedNanos = Math.max(confirmedNanos, askedNanos);
-        if (storeLost) {
-            storeLost = false;
-            runtime.log().log(Event.DEPENDENCY_REGAINED, "dependency", "store");
-        }
-    }
-
-    private void onCallFailed(String call, Throwable failure) {
-        if (!storeLost) {
-            storeLost = true;
-            runtime.log().log(
-                    Event.DEPENDENCY_LOST,
-                    "dependency",
-                    "store",
-                    "call",
-                    call,
-                    "cause",
-                    failure.getMessage());
-        }
+    private void release(Tenure tenure) {
+        lose(tenure.duty(), "handed back");
+        runtime.store()
+                .delete(tenure.key(), tenure.token())
+                .subscribe()
+                .with(v -> {}, f -> lease.onCallFailed("release " + tenure.duty(), f));
     }
 
-    // The duties.
-
     private void onEntries(Map<String, StoreEntry> now) {
         entries = now;
         Map<DaemonId, InetSocketAddress> found = new TreeMap<>();
@@ -347,13 +225,10 @@
     }
 
     private void claimMissing() {
-        if (stopped || !registered || lease.isEmpty()) {
+        if (stopped || !lease.isRegisteredFor(settleTime)) {
             return;
         }
         long now = runtime.clock().nanoTime();
-        if (now - registeredNanos < settleTime.toNanos()) {
-            return;
-        }
         for (Duty duty : wanted) {
             Holder holder = holders.get(duty);
             boolean formerSelf =
@@ -396,7 +271,7 @@
                 StoreTransaction.builder()
                         .expect(key, expected)
                         .expect(termKey, termRevision)
-                        .put(key, holder, lease.orElseThrow())
+                        .put(key, holder, lease.id())
                         .put(termKey, term)
                         .build();
         long asked = runtime.clock().nanoTime();
@@ -407,7 +282,7 @@
                 .with(
                         r -> onClaimed(duty, r, asked, term),
                         f -> {
-                            onCallFailed("claim " + duty, f);
+                            lease.onCallFailed("claim " + duty, f);
                             runtime.after(RETRY_MILLIS, () -> claiming.remove(duty));
                         });
     }
@@ -418,7 +293,7 @@
             result.current().values().forEach(watcher::written);
             return;
         }
-        confirm(asked);
+        lease.confirm(asked);
         watcher.written(new StoreEntry(StoreKeys.term(duty), result.revision(), term));
         gain(duty, result.revision());
     }
