--- a/core/src/main/java/org/crocusgrade/core/schedule/Task.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Task.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.SortedSet;
 import java.util.TreeSet;
 import org.crocusgrade.core.submission.TaskId;
@@ -107,8 +106,4 @@
     boolean isAtWork() {
         return placements.stream().anyMatch(Placement::isAtWork);
     }
-
-    Optional<Placement> placementOf(long run) {
-        return placements.stream().filter(p -> p.run() == run).findFirst();
-    }
 }
--- a/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
@@ -161,11 +161,6 @@
         return !silent && !draining && !evacuating && !isDistrusted(now);
     }
 
-    /** Returns whether the worker is sound: it takes orders and does not fail all it starts. */
-    public boolean isSound(long now) {
-        return usable && !draining && !isDistrusted(now);
-    }
-
     boolean isDistrusted(long now) {
         return distrustedUntilNanos != Long.MIN_VALUE && now - distrustedUntilNanos < 0;
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordWriter.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordWriter.java
@@ -60,7 +60,6 @@
     private int inFlight;
     private boolean stopped;
     private boolean gathering;
-    private boolean failing;
 
     RecordWriter(
             Runtime runtime,
@@ -108,11 +107,6 @@
         return stopped;
     }
 
-    /** Returns whether the last transaction failed. */
-    boolean isFailing() {
-        return failing;
-    }
-
     /** Returns whether nothing waits to be written. */
     boolean isIdle() {
         return inFlight == 0 && creations.isEmpty() && dirty.isEmpty();
@@ -191,7 +185,6 @@
 
     private void onAnswer(Batch batch, CommitResult result) {
         end(batch);
-        failing = false;
         if (stopped) {
             batch.creations.forEach(c -> c.done.accept(settle(result)));
             return;
@@ -252,7 +245,6 @@
 
     private void onFailure(Batch batch, Throwable failure) {
         end(batch);
-        failing = true;
         boolean untouched =
                 failure instanceof StoreException e && e.kind() != StoreException.Kind.ANSWER_LOST;
         runtime.log().log(
