Use the field's terms for incarnations and quarantine

Cause: the scheduler and the owners spoke of lives, limbo, desks and distrust. Change: incarnation, quarantine, and classes named after what they hold (workers and requests of a pool). Names and comments only.

--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolBalancer.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolBalancer.java
@@ -62,7 +62,7 @@
      *
      * @param now the time in seconds, on the forecast's scale
      * @param hosts the hosts, without those that a wave wants now
-     * @param needs what the owners tell; pools without an owner's word are left alone
+     * @param needs what the owners report; pools without a recent report are left as they are
      * @param incoming hosts on their way, by the pool they go to
      */
     public Decision decide(
--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolNeed.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolNeed.java
@@ -4,7 +4,7 @@
 import org.crocusgrade.core.id.ServiceId;
 
 /**
- * What the owner of a pool tells of it.
+ * What the owner of a pool reports.
  *
  * @param pool the pool
  * @param wantedCores processors that runs take or that startable tasks wait for
--- a/core/src/main/java/org/crocusgrade/core/maintenance/HostView.java
+++ b/core/src/main/java/org/crocusgrade/core/maintenance/HostView.java
@@ -12,7 +12,7 @@
  *
  * @param host the host
  * @param pool the pool that it is in
- * @param worker its current life, if it has one
+ * @param worker its current incarnation, if it has one
  * @param state what the platform says
  * @param rack its rack, if it is known
  * @param milliCores its processors, in thousandths of a core
--- a/core/src/main/java/org/crocusgrade/core/port/HostControl.java
+++ b/core/src/main/java/org/crocusgrade/core/port/HostControl.java
@@ -53,7 +53,7 @@
      * @param zone its availability zone
      * @param labels what it is, and its rack
      * @param capacity what it has
-     * @param worker its current life, if it has one
+     * @param worker its current incarnation, if it has one
      */
     record PooledHost(
             HostId host,
--- a/core/src/main/java/org/crocusgrade/core/port/OrderException.java
+++ b/core/src/main/java/org/crocusgrade/core/port/OrderException.java
@@ -10,8 +10,8 @@
         NOT_SENT,
         /** It may have been carried out, or may be later. */
         NO_ANSWER,
-        /** Another life of the worker answered; nothing was done. */
-        OTHER_LIFE,
+        /** Another incarnation of the worker answered; nothing was done. */
+        OTHER_INCARNATION,
         /** The worker refuses this daemon: it has seen a higher fencing token. */
         FENCED,
         /** The worker refused for a reason that is not known here. */
--- a/core/src/main/java/org/crocusgrade/core/port/WorkerEntry.java
+++ b/core/src/main/java/org/crocusgrade/core/port/WorkerEntry.java
@@ -19,7 +19,7 @@
  * @param zone its availability zone
  * @param draining whether it is about to leave
  * @param remaining how long it stays at least while it drains
- * @param born when this life began, in Unix milliseconds; 0 if it does not say
+ * @param born when this incarnation began, in Unix milliseconds; 0 if it does not say
  * @param labels what it is, and its rack
  * @param rack its rack's label, if it says so
  * @param capacity what it has
--- a/core/src/main/java/org/crocusgrade/core/port/WorkerOrders.java
+++ b/core/src/main/java/org/crocusgrade/core/port/WorkerOrders.java
@@ -106,7 +106,7 @@
      * What a worker says of its runs.
      *
      * @param clockMillis its clock
-     * @param born when this life of it began
+     * @param born when this incarnation of it began
      * @param running the runs that go on
      * @param ends the runs that have ended, as far as they are not acknowledged
      */
--- a/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
@@ -66,8 +66,8 @@
     }
 
     /**
-     * Returns whether a list of this life of the worker has shown the run. An answer to a start
-     * does not tell which life gave it.
+     * Returns whether a list of this incarnation of the worker has shown the run. An answer to a
+     * start does not tell which incarnation gave it.
      */
     boolean isListed() {
         return listed;
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -108,19 +108,20 @@
         return Optional.ofNullable(pool.workers().get(id));
     }
 
-    /** Takes the certain end of a worker's life: all its runs have ended. */
+    /** Takes the certain end of a worker's incarnation: all its runs have ended. */
     public void workerDied(WorkerNode worker) {
         intake.onDeath(worker);
         pool.workers().remove(worker.id(), worker);
     }
 
     /**
-     * Takes the certain end of a worker's life when it may live on under its name. Runs that no
-     * list has shown may be the next life's, so their tasks stay until that has been asked.
+     * Takes the certain end of a worker's incarnation when it may live on under its name. Runs that
+     * no list has shown may be the next incarnation's, so their tasks stay until that has been
+     * asked.
      *
      * @return whether such orders are left
      */
-    public boolean lifeEnded(WorkerNode worker) {
+    public boolean incarnationEnded(WorkerNode worker) {
         for (Placement placement : List.copyOf(worker.placements())) {
             if (placement.isListed()) {
                 worker.remove(placement);
@@ -131,8 +132,8 @@
         return !worker.placements().isEmpty();
     }
 
-    /** Adds the next life of a worker with the orders of the last that have no answer. */
-    public void addNextLife(WorkerNode last, WorkerNode next, long now) {
+    /** Adds the next incarnation of a worker with the orders of the last that have no answer. */
+    public void addNextIncarnation(WorkerNode last, WorkerNode next, long now) {
         for (Placement placement : List.copyOf(last.placements())) {
             last.remove(placement);
             Placement carried =
--- a/core/src/main/java/org/crocusgrade/core/schedule/ReportIntake.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/ReportIntake.java
@@ -17,20 +17,20 @@
 /**
  * Takes in what workers say: which runs are going on and which have ended.
  *
- * <p>A run counts as gone only on proof: its end is listed, its worker's life is over, its lease
- * has surely run out, or a list that was asked for after its order or its stop was answered lacks
- * it. Answers on several connections may overtake each other, so a list asked for earlier proves
- * nothing.
+ * <p>A run counts as gone only on proof: its end is listed, its worker's incarnation is over, its
+ * lease has surely run out, or a list that was asked for after its order or its stop was answered
+ * lacks it. Answers on several connections may overtake each other, so a list asked for earlier
+ * proves nothing.
  */
 final class ReportIntake {
     /** Ends in one list from which on more may have been left out. */
     private static final int FULL_LIST = 500;
 
-    /** Submissions whose runs fail in a row after which a worker is left alone for a while. */
-    private static final int DISTRUST_FAILURES = 3;
+    /** Submissions whose runs fail in a row after which a worker is quarantined. */
+    private static final int QUARANTINE_FAILURES = 3;
 
-    /** How long a worker that fails all it starts gets nothing, in nanoseconds. */
-    private static final long DISTRUST_NANOS = 3_000_000_000L;
+    /** How long a worker that fails all it starts is quarantined, in nanoseconds. */
+    private static final long QUARANTINE_NANOS = 3_000_000_000L;
 
     /** The pause before a failed task is tried again, in nanoseconds. */
     private static final long RETRY_PAUSE_NANOS = 50_000_000L;
@@ -78,7 +78,7 @@
         return unwanted.getOrDefault(worker, Set.of());
     }
 
-    /** Takes the certain end of a worker's life. */
+    /** Takes the certain end of a worker's incarnation. */
     void onDeath(WorkerNode worker) {
         unwanted.remove(worker);
         for (Placement placement : List.copyOf(worker.placements())) {
@@ -148,8 +148,8 @@
                 complete(task, wall);
             }
             case FAILED -> {
-                if (worker.noteFailure(end.task().step().submission()) >= DISTRUST_FAILURES) {
-                    worker.distrustUntil(now + DISTRUST_NANOS);
+                if (worker.noteFailure(end.task().step().submission()) >= QUARANTINE_FAILURES) {
+                    worker.quarantineUntil(now + QUARANTINE_NANOS);
                 }
                 fail(task, end.run(), now, wall);
             }
--- a/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
@@ -33,11 +33,11 @@
     /** How long a long-running task may take to come to work, in nanoseconds. */
     private static final long SETTLE_NANOS = 2_500_000_000L;
 
-    /** Submissions whose runs stand still or fail in a row after which a worker gets nothing. */
-    private static final int DISTRUST_STALLS = 2;
+    /** Submissions whose runs stand still or fail in a row after which a worker is quarantined. */
+    private static final int QUARANTINE_STALLS = 2;
 
-    /** How long such a worker gets nothing new, in nanoseconds. */
-    private static final long DISTRUST_NANOS = 4_000_000_000L;
+    /** How long such a worker is quarantined, in nanoseconds. */
+    private static final long QUARANTINE_NANOS = 4_000_000_000L;
 
     private static final double NANOS_PER_MILLI = 1e6;
 
@@ -103,8 +103,8 @@
             placement.enter(Phase.STOPPING, now);
             placement.task().noteStall();
             SubmissionId submission = placement.task().step().submission().id();
-            if (placement.worker().noteFailure(submission) >= DISTRUST_STALLS) {
-                placement.worker().distrustUntil(now + DISTRUST_NANOS);
+            if (placement.worker().noteFailure(submission) >= QUARANTINE_STALLS) {
+                placement.worker().quarantineUntil(now + QUARANTINE_NANOS);
             }
         }
     }
--- a/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
@@ -15,7 +15,7 @@
 import org.crocusgrade.core.submission.SubmissionId;
 import org.crocusgrade.core.submission.TaskId;
 
-/** One life of a worker, as the owner of its pool sees it. */
+/** One incarnation of a worker, as the owner of its pool sees it. */
 public final class WorkerNode {
     private final WorkerId id;
     private final Optional<HostId> host;
@@ -33,14 +33,14 @@
     private boolean evacuating;
     private long lastEnd;
     private long ackCursor;
-    private long distrustedUntilNanos = Long.MIN_VALUE;
-    private final Set<SubmissionId> failedInRow = new HashSet<>();
+    private long quarantinedUntilNanos = Long.MIN_VALUE;
+    private final Set<SubmissionId> failedSubmissions = new HashSet<>();
     private int longRunning;
 
     /**
      * Makes a worker on which nothing is known to run.
      *
-     * @param born when this life began, as the worker says
+     * @param born when this incarnation began, as the worker says
      */
     public WorkerNode(
             WorkerId id,
@@ -69,7 +69,7 @@
         return host;
     }
 
-    /** Returns when this life began, as the worker says. */
+    /** Returns when this incarnation began, as the worker says. */
     public long born() {
         return born;
     }
@@ -153,21 +153,21 @@
 
     /** Returns whether new runs may be placed here. */
     public boolean takesWork(long now) {
-        return usable && !draining && !evacuating && !isDistrusted(now);
+        return usable && !draining && !evacuating && !isQuarantined(now);
     }
 
     /** Returns whether the worker takes work now, or will once it has been asked for its runs. */
     boolean isCountedOn(long now) {
-        return !silent && !draining && !evacuating && !isDistrusted(now);
+        return !silent && !draining && !evacuating && !isQuarantined(now);
     }
 
-    boolean isDistrusted(long now) {
-        return distrustedUntilNanos != Long.MIN_VALUE && now - distrustedUntilNanos < 0;
+    boolean isQuarantined(long now) {
+        return quarantinedUntilNanos != Long.MIN_VALUE && now - quarantinedUntilNanos < 0;
     }
 
-    void distrustUntil(long nanos) {
-        distrustedUntilNanos = nanos;
-        failedInRow.clear();
+    void quarantineUntil(long nanos) {
+        quarantinedUntilNanos = nanos;
+        failedSubmissions.clear();
     }
 
     /**
@@ -177,13 +177,13 @@
      * @return of how many submissions runs have failed here since the last success
      */
     int noteFailure(SubmissionId submission) {
-        failedInRow.add(submission);
-        return failedInRow.size();
+        failedSubmissions.add(submission);
+        return failedSubmissions.size();
     }
 
     void noteSuccess() {
-        failedInRow.clear();
-        distrustedUntilNanos = Long.MIN_VALUE;
+        failedSubmissions.clear();
+        quarantinedUntilNanos = Long.MIN_VALUE;
     }
 
     boolean hasLabel(String label) {
--- a/core/src/main/java/org/crocusgrade/core/submission/TaskEnd.java
+++ b/core/src/main/java/org/crocusgrade/core/submission/TaskEnd.java
@@ -5,7 +5,7 @@
 /**
  * The end of one run of a task, as its worker lists it.
  *
- * @param number the end's number in this life of the worker, counted from 1
+ * @param number the end's number in this incarnation of the worker, counted from 1
  * @param task the task
  * @param run the run's number
  * @param how how it ended
--- a/core/src/test/java/org/crocusgrade/core/schedule/PoolSchedulerTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/PoolSchedulerTest.java
@@ -368,9 +368,9 @@
         List<Placement> starts = pool.starts();
         assertThat(starts, hasSize(2));
         pool.answer(starts.get(0), StartAnswer.STARTED);
-        assertThat(pool.scheduler.lifeEnded(last), is(true));
+        assertThat(pool.scheduler.incarnationEnded(last), is(true));
         WorkerNode next = pool.worker("w1", "r1");
-        pool.scheduler.addNextLife(last, next, pool.now());
+        pool.scheduler.addNextIncarnation(last, next, pool.now());
         pool.worker("w2", "r2");
         List<Order.Stop> stops = pool.stops();
         assertThat(stops, hasSize(2));
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyKeeper.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyKeeper.java
@@ -33,7 +33,7 @@
  * key. Who claims first is a matter of rank: daemons with fewer duties come first, then rendezvous
  * hashing decides, and each rank waits a little longer, so that one claim is the rule and a race
  * costs nothing but a refused call. A daemon that was restarted takes back at once what its former
- * life still seems to hold, since a machine runs one such process at a time.
+ * incarnation still seems to hold, since a host runs one such process at a time.
  */
 final class DutyKeeper {
     /** The pause after a failed call, in milliseconds. */
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetHolder.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetHolder.java
@@ -41,7 +41,7 @@
     /** The time between repetitions of what the owners are asked, in milliseconds. */
     private static final long REPEAT_MILLIS = 300;
 
-    /** How old an owner's word on its workers may be; a new owner starts nothing for longer. */
+    /** How old an owner's report may be; a new owner starts nothing for longer. */
     private static final Duration STATUS_AGE = Duration.ofMillis(350);
 
     /** How long a claim of a former holder may be on its way beyond its lease. */
@@ -325,7 +325,7 @@
         return result.applied();
     }
 
-    /** An owner's word on its pool. */
+    /** An owner's latest report. */
     private static final class PoolStatus {
         private final PoolStatusMessage message;
         private final long atNanos;
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -39,7 +39,7 @@
 
     /**
      * How long after a take-over nothing is started. The holder of the fleet's duty may still act
-     * on the word of the last owner that a host is empty, and says anew which are to be emptied.
+     * on the last report of the former owner that a host is empty, and asks anew for evacuations.
      */
     private static final Duration FIRST_START = Duration.ofMillis(400);
 
@@ -54,8 +54,8 @@
     private final Consumer<String> onRightLost;
     private final PoolScheduler scheduler;
     private final RecordWriter writer;
-    private final PoolCrew crew;
-    private final PoolDesk desk;
+    private final PoolWorkers poolWorkers;
+    private final PoolRequests requests;
     private final long tookOverNanos;
     private boolean loaded;
     private boolean planDue;
@@ -77,9 +77,9 @@
         this.onRightLost = onRightLost;
         scheduler = new PoolScheduler(tenure.term(), this::route);
         writer = new RecordWriter(runtime, service, tenure, scheduler.dirty(), this);
-        desk = new PoolDesk(runtime, service, queues, scheduler, writer, this::planSoon);
+        requests = new PoolRequests(runtime, service, queues, scheduler, writer, this::planSoon);
         tookOverNanos = runtime.clock().nanoTime();
-        crew = new PoolCrew(runtime, service, tenure, scheduler, this);
+        poolWorkers = new PoolWorkers(runtime, service, tenure, scheduler, this);
     }
 
     ServiceId service() {
@@ -105,7 +105,7 @@
     void stop() {
         stopped = true;
         writer.stop();
-        crew.stop();
+        poolWorkers.stop();
     }
 
     boolean isStopped() {
@@ -123,7 +123,7 @@
                         .setWaitingMilliCores(waiting)
                         .setWantedMilliCores(scheduler.usedMilliCores() + waiting)
                         .setOfferedMilliCores(scheduler.offeredMilliCores(now));
-        for (WorkerSession session : crew.sessions()) {
+        for (WorkerSession session : poolWorkers.sessions()) {
             if (session.isFenced()) {
                 status.addWorkers(session.status());
             }
@@ -139,26 +139,26 @@
     /** Takes the workers that are registered, of all pools. */
     void onWorkers(Map<WorkerId, WorkerEntry> registered) {
         if (loaded && !stopped) {
-            crew.onWorkers(registered);
+            poolWorkers.onWorkers(registered);
             planSoon();
         }
     }
 
     /** Sets which workers are to be emptied. */
     void evacuate(Set<WorkerId> workers) {
-        crew.evacuate(workers);
+        poolWorkers.evacuate(workers);
         planSoon();
     }
 
     /** Takes the workers of the pool's hosts that are up, read after the take-over. */
     void onLivingWorkers(Set<WorkerId> living) {
-        crew.onLivingWorkers(living);
+        poolWorkers.onLivingWorkers(living);
     }
 
     /** Does what time brings: lapsed leases, due retries, expired records. */
     void tick() {
         if (loaded && !stopped) {
-            crew.tick();
+            poolWorkers.tick();
             planSoon();
         }
     }
@@ -184,13 +184,13 @@
             reply.accept(SubmissionReply.of(Outcome.NOT_OWNER, "taking over"));
             return;
         }
-        desk.handle(call, reply);
+        requests.handle(call, reply);
     }
 
     @Override
     public void onWritten() {
-        desk.onWritten();
-        crew.sessions().forEach(WorkerSession::onStored);
+        requests.onWritten();
+        poolWorkers.sessions().forEach(WorkerSession::onStored);
     }
 
     @Override
@@ -280,14 +280,14 @@
     }
 
     @Override
-    public void onOtherLife(WorkerSession session, String reason) {
-        crew.lifeEnded(session, reason);
+    public void onOtherIncarnation(WorkerSession session, String reason) {
+        poolWorkers.incarnationEnded(session, reason);
         planSoon();
     }
 
     @Override
     public void onDead(WorkerSession session, String reason) {
-        crew.close(session, reason);
+        poolWorkers.close(session, reason);
         planSoon();
     }
 
@@ -314,7 +314,7 @@
         }
         for (Order order : scheduler.plan(now, runtime.clock().now())) {
             logOrder(order);
-            crew.send(order);
+            poolWorkers.send(order);
         }
         writer.changed();
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolDesk.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolRequests.java
@@ -24,7 +24,7 @@
  * Answers what callers ask of the owner of a pool. A submission is accepted, and an end or a cancel
  * is told, only once the store has it.
  */
-final class PoolDesk {
+final class PoolRequests {
     private final Runtime runtime;
     private final ServiceId service;
     private final QueueBook queues;
@@ -34,7 +34,7 @@
     private final Map<SubmissionId, List<Consumer<CreateResult>>> creating = new HashMap<>();
     private final List<Awaiting> awaiting = new ArrayList<>();
 
-    PoolDesk(
+    PoolRequests(
             Runtime runtime,
             ServiceId service,
             QueueBook queues,
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolCrew.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
@@ -21,12 +21,12 @@
  * The workers of one pool, as its owner deals with them: who is there, who was fenced, whose leases
  * have run out.
  */
-final class PoolCrew {
+final class PoolWorkers {
     /** How long after a take-over a lease of the last owner may live at most. */
     private static final Duration OLD_LEASES = PoolOwner.EXTEND_WITHOUT_STORE.plusMillis(5000);
 
-    /** How long orders to the last life of a worker may be on their way to the next. */
-    private static final Duration LIMBO = Duration.ofSeconds(6);
+    /** How long orders to the last incarnation of a worker may be on their way to the next. */
+    private static final Duration ORDERS_ON_THEIR_WAY = Duration.ofSeconds(6);
 
     private final Runtime runtime;
     private final ServiceId service;
@@ -34,12 +34,12 @@
     private final PoolScheduler scheduler;
     private final WorkerSession.Listener listener;
     private final Map<WorkerId, WorkerSession> sessions = new TreeMap<>();
-    private final Map<WorkerId, Limbo> limbo = new HashMap<>();
+    private final Map<WorkerId, EndedIncarnation> endedIncarnations = new HashMap<>();
     private final long tookOverNanos;
     private Set<WorkerId> evacuating = Set.of();
     private Optional<Set<WorkerId>> suspects = Optional.empty();
 
-    PoolCrew(
+    PoolWorkers(
             Runtime runtime,
             ServiceId service,
             Tenure tenure,
@@ -84,7 +84,7 @@
     private void onWorker(WorkerEntry entry) {
         WorkerSession held = sessions.get(entry.worker());
         if (held != null && held.node().born() != entry.born() && entry.born() > 0) {
-            lifeEnded(held, "registered again");
+            incarnationEnded(held, "registered again");
             held = null;
         }
         if (held == null) {
@@ -106,11 +106,11 @@
         node.setEvacuating(evacuating.contains(entry.worker()));
         WorkerSession session = new WorkerSession(runtime, node, entry, tenure.token(), listener);
         sessions.put(entry.worker(), session);
-        Limbo last = limbo.remove(entry.worker());
+        EndedIncarnation last = endedIncarnations.remove(entry.worker());
         if (last == null) {
             scheduler.addWorker(node);
         } else {
-            scheduler.addNextLife(last.node, node, runtime.clock().nanoTime());
+            scheduler.addNextIncarnation(last.node, node, runtime.clock().nanoTime());
         }
         runtime.log().log(
                 Event.WORKER_JOINED,
@@ -137,7 +137,7 @@
     /** Does what time brings. */
     void tick() {
         settle();
-        endLimbo();
+        forgetEndedIncarnations();
         for (WorkerSession session : List.copyOf(sessions.values())) {
             if (session.hasLapsed()) {
                 onLapsed(session);
@@ -205,7 +205,7 @@
         }
     }
 
-    /** Takes the certain end of a worker's life. */
+    /** Takes the certain end of a worker's incarnation. */
     void close(WorkerSession session, String reason) {
         session.close();
         sessions.remove(session.node().id(), session);
@@ -214,27 +214,28 @@
     }
 
     /**
-     * Takes the end of a life whose name another life has. Orders without an answer may reach that
-     * one, so their tasks wait until it has been asked.
+     * Takes the end of an incarnation whose name another has. Orders without an answer may reach
+     * that one, so their tasks wait until it has been asked.
      */
-    void lifeEnded(WorkerSession session, String reason) {
+    void incarnationEnded(WorkerSession session, String reason) {
         WorkerNode node = session.node();
-        if (!scheduler.lifeEnded(node)) {
+        if (!scheduler.incarnationEnded(node)) {
             close(session, reason);
             return;
         }
         session.close();
         sessions.remove(node.id(), session);
-        limbo.put(node.id(), new Limbo(node, runtime.clock().nanoTime()));
+        endedIncarnations.put(node.id(), new EndedIncarnation(node, runtime.clock().nanoTime()));
         log(node, reason);
     }
 
-    private void endLimbo() {
+    private void forgetEndedIncarnations() {
         long now = runtime.clock().nanoTime();
-        limbo.values()
+        endedIncarnations
+                .values()
                 .removeIf(
                         l -> {
-                            boolean over = now - l.sinceNanos > LIMBO.toNanos();
+                            boolean over = now - l.sinceNanos > ORDERS_ON_THEIR_WAY.toNanos();
                             if (over) {
                                 scheduler.workerDied(l.node);
                             }
@@ -247,6 +248,6 @@
                 Event.WORKER_GONE, "pool", service, "worker", node.id(), "reason", reason);
     }
 
-    /** The last life of a worker, with orders that may reach the next. */
-    private record Limbo(WorkerNode node, long sinceNanos) {}
+    /** The last incarnation of a worker, with orders that may reach the next. */
+    private record EndedIncarnation(WorkerNode node, long sinceNanos) {}
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -19,8 +19,8 @@
 import org.crocusgrade.peer.proto.WorkerStatusMessage;
 
 /**
- * An owner's dealings with one life of a worker: it keeps one waiting call open that extends the
- * lease of all runs and brings their ends, and sends the orders.
+ * An owner's dealings with one incarnation of a worker: it keeps one waiting call open that extends
+ * the lease of all runs and brings their ends, and sends the orders.
  *
  * <p>The worker's clock is known from its last answer. It may be 2% slow, so a lease that ends at U
  * on a clock that showed C in an answer received at time t has ended at the latest at t + (U - C) /
@@ -194,7 +194,7 @@
         if (failure instanceof OrderException e) {
             boolean never =
                     e.kind() == OrderException.Kind.NOT_SENT
-                            || e.kind() == OrderException.Kind.OTHER_LIFE;
+                            || e.kind() == OrderException.Kind.OTHER_INCARNATION;
             answer = never ? StartAnswer.NOT_SENT : StartAnswer.UNKNOWN;
         }
         listener.onStartAnswer(this, placement, answer, String.valueOf(failure.getMessage()));
@@ -243,7 +243,7 @@
                         && report.born().isPresent()
                         && report.born().getAsLong() != node.born();
         if (otherLife) {
-            listener.onOtherLife(this, "another life answers");
+            listener.onOtherIncarnation(this, "another incarnation answers");
             return;
         }
         if (failures > 0 && fenced) {
@@ -275,7 +275,7 @@
                 listener.onFencedOff(this);
                 return;
             }
-            if (e.kind() == OrderException.Kind.OTHER_LIFE) {
+            if (e.kind() == OrderException.Kind.OTHER_INCARNATION) {
                 listener.onDead(this, "another worker answers");
                 return;
             }
@@ -334,10 +334,10 @@
         /** The worker has seen a higher token than this owner's. */
         void onFencedOff(WorkerSession session);
 
-        /** This life of the worker is over, and another has its name. */
-        void onOtherLife(WorkerSession session, String reason);
+        /** This incarnation of the worker is over, and another has its name. */
+        void onOtherIncarnation(WorkerSession session, String reason);
 
-        /** This life of the worker is over. */
+        /** This incarnation of the worker is over. */
         void onDead(WorkerSession session, String reason);
     }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/log/Event.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/log/Event.java
@@ -45,7 +45,7 @@
     RUN_STOPPED(303, Level.INFO),
     /** A worker joined a pool. */
     WORKER_JOINED(310, Level.INFO),
-    /** A worker's life is over. */
+    /** A worker's incarnation is over. */
     WORKER_GONE(311, Level.INFO),
     /** A worker does not answer. */
     WORKER_SILENT(312, Level.WARNING),
