--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
@@ -90,7 +90,7 @@
         if (held == null) {
             held = open(entry);
         }
-        held.setDraining(entry.draining(), entry.remaining());
+        held.setDraining(entry.draining());
     }
 
     private WorkerSession open(WorkerEntry entry) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -67,7 +67,6 @@
     private long clockMillis;
     private long clockNanos;
     private long leaseUntilMillis;
-    private long drainDeadlineNanos;
 
     WorkerSession(
             Runtime runtime, WorkerNode node, WorkerEntry entry, long token, Listener listener) {
@@ -99,17 +98,10 @@
         updateUsable();
     }
 
-    void setDraining(boolean draining, Duration remaining) {
-        if (draining && !node.isDraining()) {
-            drainDeadlineNanos = runtime.clock().nanoTime() + remaining.toNanos();
-        }
+    void setDraining(boolean draining) {
         node.setDraining(draining);
     }
 
-    long drainDeadlineNanos() {
-        return drainDeadlineNanos;
-    }
-
     /** Returns what the holder of the fleet's duty needs to know of the worker. */
     WorkerStatusMessage status() {
         return WorkerStatusMessage.newBuilder()
