--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -88,6 +88,11 @@
         pool.setSettled();
     }
 
+    /** Moves no long-running task before a time, while stops of a former owner take effect. */
+    public void holdEvacuationsUntil(long nanos) {
+        stops.holdEvacuationsUntil(nanos);
+    }
+
     /** Returns whether no run of an earlier owner can be going on unseen. */
     public boolean isSettled() {
         return pool.isSettled();
--- a/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
@@ -46,6 +46,8 @@
     private final ReportIntake intake;
     private final Placer placer;
     private final Map<RunName, Long> unwantedSent = new HashMap<>();
+    private boolean evacuationsHeld;
+    private long evacuateFromNanos;
 
     StopPlanner(PoolState pool, ReportIntake intake, RunTimeModel times) {
         this.pool = pool;
@@ -54,6 +56,15 @@
         placer = new Placer(pool);
     }
 
+    /**
+     * Moves no long-running task before a time. A run that the former owner has told to stop is
+     * still listed as at work until it has stopped.
+     */
+    void holdEvacuationsUntil(long nanos) {
+        evacuationsHeld = true;
+        evacuateFromNanos = nanos;
+    }
+
     List<Order> plan(long now) {
         List<Order> orders = new ArrayList<>();
         unwantedSent.values().removeIf(sent -> now - sent >= RETRY_NANOS);
@@ -140,6 +151,9 @@
         if (worker.isDraining()) {
             return true;
         }
+        if (evacuationsHeld && now - evacuateFromNanos < 0) {
+            return false;
+        }
         int limit = Math.max(1, step.spec().maxUnavailable());
         return step.away() < limit && placer.choose(placement.task(), now).isPresent();
     }
--- a/core/src/test/java/org/crocusgrade/core/schedule/PoolSchedulerTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/PoolSchedulerTest.java
@@ -253,6 +253,20 @@
         assertThat(other.placements(), empty());
     }
 
+    @Test
+    void aNewOwnerMovesNoLongTaskWhileStopsOfTheFormerOneTakeEffect() {
+        WorkerNode leaving = pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(2, 1000).longRunning(1).maxPerWorker(2).build());
+        assertThat(pool.startAll(), hasSize(2));
+        pool.report(leaving);
+        pool.worker("w2", "r2");
+        pool.scheduler.holdEvacuationsUntil(pool.now() + Duration.ofMillis(1500).toNanos());
+        leaving.setEvacuating(true);
+        assertThat(pool.stops(), empty());
+        pool.advance(Duration.ofMillis(1500));
+        assertThat(pool.stops(), hasSize(1));
+    }
+
     @Test
     void tasksOnASilentWorkerCountAsAway() {
         StepBuilder oneAway = new StepBuilder(2, 1000).longRunning(1).maxPerWorker(1);
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -43,6 +43,9 @@
      */
     private static final Duration FIRST_START = Duration.ofMillis(400);
 
+    /** How long stops of a former owner may take to show, by the platform's longest stop. */
+    private static final Duration FORMER_STOPS = Duration.ofMillis(1500);
+
     /** The pause between an event and the plan that answers it, in milliseconds. */
     private static final long PLAN_PAUSE_MILLIS = 3;
 
@@ -79,6 +82,9 @@
         writer = new RecordWriter(runtime, service, tenure, scheduler.dirty(), this);
         requests = new PoolRequests(runtime, service, queues, scheduler, writer, this::planSoon);
         tookOverNanos = runtime.clock().nanoTime();
+        if (tenure.term() > 1) {
+            scheduler.holdEvacuationsUntil(tookOverNanos + FORMER_STOPS.toNanos());
+        }
         poolWorkers = new PoolWorkers(runtime, service, tenure, scheduler, this);
     }
 
