--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolBalancer.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolBalancer.java
@@ -58,14 +58,14 @@
     }
 
     /**
-     * Decides.
+     * Returns the hosts to move.
      *
      * @param now the time in seconds, on the forecast's scale
      * @param hosts the hosts, without those that a wave wants now
      * @param needs what the owners report; pools without a recent report are left as they are
      * @param incoming hosts on their way, by the pool they go to
      */
-    public Decision decide(
+    public List<Move> decide(
             double now,
             List<HostView> hosts,
             Map<ServiceId, PoolNeed> needs,
@@ -84,7 +84,7 @@
             fill(pool, donors, spare, taken, moves);
         }
         park(now, hosts, needs, spare, taken, moves);
-        return new Decision(moves);
+        return List.copyOf(moves);
     }
 
     private void observe(double now, List<HostView> hosts) {
@@ -232,12 +232,4 @@
 
     /** One host to move once it is empty. */
     public record Move(HostId host, ServiceId to) {}
-
-    /** The hosts to move. */
-    public record Decision(List<Move> moves) {
-        /** Copies the list. */
-        public Decision {
-            moves = List.copyOf(moves);
-        }
-    }
 }
--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolNeed.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolNeed.java
@@ -8,9 +8,8 @@
  *
  * @param pool the pool
  * @param wantedCores processors that runs take or that startable tasks wait for
- * @param waitingCores the part of them that tasks wait for
  */
-public record PoolNeed(ServiceId pool, double wantedCores, double waitingCores) {
+public record PoolNeed(ServiceId pool, double wantedCores) {
     /** Checks the fields. */
     public PoolNeed {
         Objects.requireNonNull(pool);
--- a/core/src/test/java/org/crocusgrade/core/fleet/plan/PoolBalancerTest.java
+++ b/core/src/test/java/org/crocusgrade/core/fleet/plan/PoolBalancerTest.java
@@ -65,7 +65,7 @@
         add("s", STANDBY, 3, 0, 0);
         add("h", HOT, 2, 4, 0);
         need(HOT, 64 + 60);
-        assertThat(balancer.decide(10, hosts, needs, Map.of(HOT, 2)).moves(), empty());
+        assertThat(balancer.decide(10, hosts, needs, Map.of(HOT, 2)), empty());
     }
 
     @Test
@@ -81,8 +81,8 @@
         add("s", STANDBY, 1, 0, 0);
         add("c", CALM, 4, 0, 0);
         need(CALM, 1);
-        assertThat(balancer.decide(0, hosts, needs, Map.of()).moves(), empty());
-        List<PoolBalancer.Move> moves = balancer.decide(10, hosts, needs, Map.of()).moves();
+        assertThat(balancer.decide(0, hosts, needs, Map.of()), empty());
+        List<PoolBalancer.Move> moves = balancer.decide(10, hosts, needs, Map.of());
         assertThat(moves, not(empty()));
         assertThat(moves.get(0).to(), is(STANDBY));
         assertThat("3 of 4 stay: half of 5 hosts for 1 pool", moves, hasSize(1));
@@ -96,7 +96,7 @@
         need(CALM, 0);
         need(HOT, 0);
         balancer.decide(0, hosts, needs, Map.of());
-        List<PoolBalancer.Move> moves = balancer.decide(10, hosts, needs, Map.of()).moves();
+        List<PoolBalancer.Move> moves = balancer.decide(10, hosts, needs, Map.of());
         long ofCalm = moves.stream().filter(m -> m.host().value().startsWith("c")).count();
         assertThat("5 of 8 stay: half of 18 hosts for 2 pools", ofCalm, is(3L));
         assertThat(moves, hasSize(6));
@@ -104,7 +104,7 @@
 
     private List<PoolBalancer.Move> decideRested() {
         balancer.decide(0, hosts, Map.of(), Map.of());
-        return balancer.decide(3, hosts, needs, Map.of()).moves();
+        return balancer.decide(3, hosts, needs, Map.of());
     }
 
     private static List<String> names(List<PoolBalancer.Move> moves) {
@@ -112,7 +112,7 @@
     }
 
     private void need(ServiceId pool, double cores) {
-        needs.put(pool, new PoolNeed(pool, cores, 0));
+        needs.put(pool, new PoolNeed(pool, cores));
     }
 
     private void add(String prefix, ServiceId pool, int count, int running, int longRunning) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetHolder.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetHolder.java
@@ -143,10 +143,7 @@
             if (isFresh(entry.getValue())) {
                 needs.put(
                         entry.getKey(),
-                        new PoolNeed(
-                                entry.getKey(),
-                                message.getWantedMilliCores() / MILLI,
-                                message.getWaitingMilliCores() / MILLI));
+                        new PoolNeed(entry.getKey(), message.getWantedMilliCores() / MILLI));
             }
         }
         return needs;
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/HostMover.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/HostMover.java
@@ -66,7 +66,7 @@
         leaving.values().forEach(l -> incoming.merge(l.to, 1, Integer::sum));
         arriving.values().forEach(l -> incoming.merge(l.to, 1, Integer::sum));
         long nanos = runtime.clock().nanoTime();
-        for (PoolBalancer.Move move : balancer.decide(now, free, needs, incoming).moves()) {
+        for (PoolBalancer.Move move : balancer.decide(now, free, needs, incoming)) {
             leaving.put(move.host(), new Leaving(move.to(), nanos));
         }
         for (Map.Entry<HostId, Leaving> entry : leaving.entrySet()) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordWriter.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordWriter.java
@@ -206,6 +206,9 @@
         for (Progress progress : batch.progress) {
             TrackedSubmission submission = progress.submission;
             revisions.put(submission.id(), revision);
+            if (progress.state.isFinal() && !submission.visibleState().isFinal()) {
+                logEnd(submission, progress.state, revision);
+            }
             submission.setStored(progress.change, progress.state);
             if (submission.changes() == progress.change) {
                 dirty.remove(submission);
@@ -218,6 +221,22 @@
         batch.creations.forEach(c -> c.done.accept(CreateResult.CREATED));
     }
 
+    private void logEnd(TrackedSubmission submission, SubmissionState state, long revision) {
+        long age = runtime.clock().nanoTime() - submission.acceptedNanos();
+        runtime.log().log(
+                Event.SUBMISSION_ENDED,
+                "id",
+                submission.id(),
+                "pool",
+                service,
+                "state",
+                state,
+                "after-ms",
+                Duration.ofNanos(age).toMillis(),
+                "revision",
+                revision);
+    }
+
     private void onConflict(Batch batch, CommitResult result) {
         if (result.currentRevision(tenure.key()) != tenure.token()) {
             batch.creations.forEach(
