Ask the advice service, spread over all daemons; keep no worker for a step at its limit

Cause: queues whose policy allows only some workers were not served at all: nobody asked for advice. Change: the scheduler decides which question is due (pure, with the load it answers): small questions, the most urgent submissions first, one open for each step, what was denied never again. The owner spreads them over all daemons by the peer link, since the service answers each daemon's questions one after the other; starts carry the ticket, and one that a worker refuses is forgotten. New tests of labels, racks, checkpoints and occurrences found a fault: the step that first finds no place keeps the emptiest worker free for itself, also when the step's own limit for a worker bars it from there, so that worker took nothing in that round. Ruled out: each owner asking alone (with 0.1 s an answer one daemon carries 10 questions a second).

--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/schedule/AdviceQuestion.java
@@ -0,0 +1,30 @@
+package org.crocusgrade.core.schedule;
+
+import java.util.List;
+import java.util.Objects;
+import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.submission.StepId;
+
+/**
+ * A question to the advice service: which of some workers may run a step.
+ *
+ * @param step the step
+ * @param workers the workers, as they were when the question was made
+ */
+public record AdviceQuestion(StepRun step, List<WorkerNode> workers) {
+    /** Copies the list. */
+    public AdviceQuestion {
+        Objects.requireNonNull(step);
+        workers = List.copyOf(workers);
+    }
+
+    /** Returns the step's name. */
+    public StepId stepId() {
+        return step.id();
+    }
+
+    /** Returns the workers' names. */
+    public List<WorkerId> workerIds() {
+        return workers.stream().map(WorkerNode::id).toList();
+    }
+}
--- a/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
@@ -1,5 +1,7 @@
 package org.crocusgrade.core.schedule;
 
+import java.util.Optional;
+
 /** One run of a task on one worker, from the order to start it until its end is certain. */
 public final class Placement {
     /** A task at this share works fully, in percent. */
@@ -10,6 +12,7 @@
     private final long run;
     private final String checkpoint;
     private final long orderedNanos;
+    private Optional<String> ticket = Optional.empty();
     private Phase phase = Phase.STARTING;
     private long settledNanos;
     private long stopSentNanos;
@@ -50,6 +53,15 @@
         return checkpoint;
     }
 
+    /** Returns the ticket that the start carries, if the queue asks for advice. */
+    public Optional<String> ticket() {
+        return ticket;
+    }
+
+    void setTicket(Optional<String> held) {
+        ticket = held;
+    }
+
     /** Returns when the order was made. */
     public long orderedNanos() {
         return orderedNanos;
--- a/core/src/main/java/org/crocusgrade/core/schedule/Placer.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placer.java
@@ -31,11 +31,18 @@
         reserved.clear();
     }
 
-    /** Keeps the emptiest worker that could take the step free for it during this round. */
-    void reserveFor(StepSpec step, long now) {
+    /**
+     * Keeps the emptiest worker that could take another task of a step free for it during this
+     * round, if there is one.
+     *
+     * @return whether a worker is kept
+     */
+    boolean reserveFor(StepRun step, long now) {
         WorkerNode best = null;
+        boolean advised = isAdvised(step);
         for (WorkerNode worker : pool.workers().values()) {
-            boolean fits = step.reserved().fitsIn(worker.capacity()) && hasLabel(worker, step);
+            boolean allowed = !advised || step.advice().ticket(worker, now).isPresent();
+            boolean fits = allowed && couldTake(worker, step.spec()) && !isAtLimit(worker, step);
             if (!fits || !worker.takesWork(now) || reserved.contains(worker)) {
                 continue;
             }
@@ -46,6 +53,7 @@
         if (best != null) {
             reserved.add(best);
         }
+        return best != null;
     }
 
     /** Returns the most processors that a worker has free, in thousandths of a core. */
@@ -62,12 +70,16 @@
     /** Returns the best worker for a task, if one has room. */
     Optional<WorkerNode> choose(Task task, long now) {
         StepRun step = task.step();
+        boolean advised = isAdvised(step);
         WorkerNode best = null;
         long bestCost = Long.MAX_VALUE;
         for (WorkerNode worker : pool.workers().values()) {
             if (!mayTake(worker, task, now)) {
                 continue;
             }
+            if (advised && step.advice().ticket(worker, now).isEmpty()) {
+                continue;
+            }
             long cost = step.spec().longRunning() ? longCost(worker, step) : batchCost(worker);
             if (best == null || cost < bestCost) {
                 best = worker;
@@ -111,7 +123,7 @@
         if (worker.placement(task.id()).isPresent()) {
             return false;
         }
-        if (spec.maxPerWorker() > 0 && worker.tasksOf(step.id()) >= spec.maxPerWorker()) {
+        if (isAtLimit(worker, step)) {
             return false;
         }
         return isOnWantedRack(worker, step, now);
@@ -126,6 +138,28 @@
         return worker.hasLabel(wanted.get()) || patienceOver;
     }
 
+    /** Returns whether only some workers may run a step, and the advice service knows which. */
+    private boolean isAdvised(StepRun step) {
+        return pool.route(step.submission()).advice().isPresent();
+    }
+
+    /** Returns whether a worker without other runs could take a task. */
+    static boolean couldTake(WorkerNode worker, StepSpec spec) {
+        return spec.reserved().fitsIn(worker.capacity()) && hasLabel(worker, spec);
+    }
+
+    private static boolean isAtLimit(WorkerNode worker, StepRun step) {
+        int limit = step.spec().maxPerWorker();
+        return limit > 0 && worker.tasksOf(step.id()) >= limit;
+    }
+
+    /** Returns how many more tasks of a step a worker has room for. */
+    static long places(WorkerNode worker, StepRun step) {
+        long room = places(worker.free(), step.spec());
+        int limit = step.spec().maxPerWorker();
+        return limit == 0 ? room : Math.min(room, limit - worker.tasksOf(step.id()));
+    }
+
     private Set<String> racks() {
         Set<String> racks = new HashSet<>();
         for (WorkerNode worker : pool.workers().values()) {
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.crocusgrade.core.config.QueueRoute;
 import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.port.AdviceService.Advice;
 import org.crocusgrade.core.schedule.Placement.Phase;
 import org.crocusgrade.core.submission.SubmissionId;
 import org.crocusgrade.core.submission.SubmissionSpec;
@@ -36,6 +37,7 @@
     private final ReportIntake intake;
     private final StopPlanner stops;
     private final StartPlanner starts;
+    private final AdvicePlanner questions;
     private final ArrivalMeter arrivals = new ArrivalMeter();
     private final CapacityMemory capacity = new CapacityMemory();
 
@@ -46,10 +48,11 @@
      * @param routes finds the queues of submissions
      */
     public PoolScheduler(long term, RouteLookup routes) {
-        pool = new PoolState(term);
+        pool = new PoolState(term, routes);
         intake = new ReportIntake(pool, times);
         stops = new StopPlanner(pool, intake, times);
-        starts = new StartPlanner(pool, outlook, routes);
+        starts = new StartPlanner(pool, outlook);
+        questions = new AdvicePlanner(pool, outlook);
     }
 
     /** Takes a submission that is stored. */
@@ -178,14 +181,30 @@
                 placement.task().step().submission().setBegun();
             }
             case UNKNOWN -> placement.enter(Phase.UNCERTAIN, now);
-            default -> {
-                placement.worker().remove(placement);
-                placement.task().waitUntil(now + REFUSED_PAUSE_NANOS);
-                stopGang(placement, now);
+            case NO_TICKET -> {
+                placement.task().step().advice().forget(placement.worker());
+                refused(placement, now);
             }
+            default -> refused(placement, now);
         }
     }
 
+    private static void refused(Placement placement, long now) {
+        placement.worker().remove(placement);
+        placement.task().waitUntil(now + REFUSED_PAUSE_NANOS);
+        stopGang(placement, now);
+    }
+
+    /** Returns what the advice service is to be asked now, at most so many questions. */
+    public List<AdviceQuestion> questions(int most, long now, Instant wall) {
+        return questions.plan(most, now, wall);
+    }
+
+    /** Takes the answer to a question, or that there is none. */
+    public void onAdvice(AdviceQuestion question, Optional<Advice> answer, long now) {
+        questions.onAnswer(question, answer, now);
+    }
+
     /** Takes the answer, or the lack of one, to a stop. */
     public void onStopAnswer(Placement placement, boolean answered, long now) {
         placement.stopAnswered(answered, now);
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolState.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolState.java
@@ -4,8 +4,10 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import org.crocusgrade.core.config.QueueRoute;
 import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.submission.SubmissionId;
 import org.crocusgrade.core.submission.TaskId;
@@ -19,6 +21,7 @@
     private final Set<TrackedSubmission> active = new LinkedHashSet<>();
     private final Set<TrackedSubmission> dirty = new LinkedHashSet<>();
     private final Map<WorkerId, WorkerNode> workers = new LinkedHashMap<>();
+    private final RouteLookup routes;
     private final long runBase;
     private boolean settled;
 
@@ -26,8 +29,10 @@
      * Makes an empty pool.
      *
      * @param term how often the pool has been taken over, counted from 1
+     * @param routes finds the queues of submissions
      */
-    PoolState(long term) {
+    PoolState(long term, RouteLookup routes) {
+        this.routes = Objects.requireNonNull(routes);
         runBase = (term - 1) * RUNS_PER_TERM;
     }
 
@@ -61,6 +66,10 @@
         return find(id.step().submission()).flatMap(s -> s.task(id));
     }
 
+    QueueRoute route(TrackedSubmission submission) {
+        return routes.route(submission);
+    }
+
     Collection<TrackedSubmission> submissions() {
         return submissions.values();
     }
--- a/core/src/main/java/org/crocusgrade/core/schedule/StartAnswer.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StartAnswer.java
@@ -6,6 +6,8 @@
     STARTED,
     /** The worker has no room; the run does not exist. */
     NO_ROOM,
+    /** The worker does not accept the ticket; the run does not exist. */
+    NO_TICKET,
     /** The worker refused it for another reason; the run does not exist. */
     REFUSED,
     /** The worker knows this or a later run of the task; nothing was started. */
--- a/core/src/main/java/org/crocusgrade/core/schedule/StartPlanner.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StartPlanner.java
@@ -10,28 +10,25 @@
     private final PoolState pool;
     private final SubmissionOrder order;
     private final Placer placer;
-    private final RouteLookup routes;
 
-    StartPlanner(PoolState pool, Outlook outlook, RouteLookup routes) {
+    StartPlanner(PoolState pool, Outlook outlook) {
         this.pool = pool;
-        this.order = new SubmissionOrder(outlook);
+        this.order = new SubmissionOrder(pool, outlook);
         this.placer = new Placer(pool);
-        this.routes = routes;
     }
 
     List<Order> plan(long now, Instant wall) {
         List<Order> orders = new ArrayList<>();
         placer.begin();
         boolean blocked = false;
-        for (TrackedSubmission submission : order.sort(pool.active(), routes, now)) {
+        for (TrackedSubmission submission : order.sort(pool.active(), now)) {
             if (submission.isInherited() && !pool.isSettled()) {
                 continue;
             }
             for (StepRun step : readySteps(submission, wall)) {
                 boolean placedAll = placeStep(step, now, orders);
                 if (!placedAll && !blocked) {
-                    blocked = true;
-                    placer.reserveFor(step.spec(), now);
+                    blocked = placer.reserveFor(step, now);
                 }
             }
         }
@@ -101,6 +98,7 @@
 
     private static Order place(Task task, WorkerNode worker, long run, long now) {
         Placement placement = new Placement(task, worker, run, task.checkpoint(), now);
+        placement.setTicket(task.step().advice().ticket(worker, now));
         worker.add(placement);
         task.noteRun(run);
         return new Order.Start(placement);
--- a/core/src/main/java/org/crocusgrade/core/schedule/StepRun.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StepRun.java
@@ -15,6 +15,7 @@
     private final StepSpec spec;
     private final List<Task> tasks;
     private final SortedSet<Long> failedGangs = new TreeSet<>();
+    private final StepAdvice advice = new StepAdvice();
     private int done;
     private Optional<String> rack = Optional.empty();
     private long rackSinceNanos = Long.MIN_VALUE;
@@ -50,6 +51,11 @@
         return submission;
     }
 
+    /** Returns what the advice service has said of the step. */
+    StepAdvice advice() {
+        return advice;
+    }
+
     /** Returns whether all tasks have ended as done. */
     public boolean isDone() {
         return done == tasks.size();
--- a/core/src/main/java/org/crocusgrade/core/schedule/SubmissionOrder.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/SubmissionOrder.java
@@ -30,18 +30,19 @@
     private static final int LATE = 2;
     private static final double NANOS_PER_MILLI = 1e6;
 
+    private final PoolState pool;
     private final Outlook outlook;
 
-    SubmissionOrder(Outlook outlook) {
+    SubmissionOrder(PoolState pool, Outlook outlook) {
+        this.pool = pool;
         this.outlook = outlook;
     }
 
     /** Returns the submissions in order, the most urgent first. */
-    List<TrackedSubmission> sort(
-            Collection<TrackedSubmission> submissions, RouteLookup routes, long now) {
+    List<TrackedSubmission> sort(Collection<TrackedSubmission> submissions, long now) {
         List<Ranked> ranked = new ArrayList<>(submissions.size());
         for (TrackedSubmission submission : submissions) {
-            ranked.add(rank(submission, routes.route(submission), now));
+            ranked.add(rank(submission, pool.route(submission), now));
         }
         ranked.sort(ORDER);
         return ranked.stream().map(Ranked::submission).toList();
--- /dev/null
+++ b/core/src/test/java/org/crocusgrade/core/schedule/AdvicePlannerTest.java
@@ -0,0 +1,157 @@
+package org.crocusgrade.core.schedule;
+
+import static org.crocusgrade.core.schedule.Pool.end;
+import static org.crocusgrade.core.schedule.Pool.step;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.submission.TaskEnd.How;
+import org.junit.jupiter.api.Test;
+
+/** What is asked of the advice service, and what its answers allow. */
+class AdvicePlannerTest {
+    private static final int MANY = 100;
+
+    private final Pool pool = Pool.advised();
+
+    @Test
+    void tasksStartOnlyOnAllowedWorkersAndWithTheirTickets() {
+        pool.worker("w1", "r1");
+        WorkerNode allowed = pool.worker("w2", "r1");
+        pool.submit(false, step(3, 1000));
+        assertThat(pool.starts(), empty());
+        AdviceQuestion question = pool.questions(MANY).get(0);
+        assertThat(question.workerIds(), hasSize(2));
+        pool.advise(question, "w2");
+        List<Placement> starts = pool.starts();
+        assertThat(starts, hasSize(3));
+        for (Placement start : starts) {
+            assertThat(start.worker(), is(allowed));
+            assertThat(start.ticket(), is(Optional.of("ticket-1")));
+        }
+    }
+
+    @Test
+    void aQueueWithoutAdviceAsksNothing() {
+        Pool free = Pool.settled();
+        free.worker("w1", "r1");
+        free.submit(false, step(3, 1000));
+        assertThat(free.questions(MANY), empty());
+        assertThat(free.starts(), hasSize(3));
+    }
+
+    @Test
+    void aStepHasOneOpenQuestionAtATime() {
+        pool.worker("w1", "r1");
+        pool.submit(false, step(3, 1000));
+        assertThat(pool.questions(MANY), hasSize(1));
+        assertThat(pool.questions(MANY), empty());
+    }
+
+    @Test
+    void aStepThatStillWaitsForAnotherIsNotAskedAbout() {
+        pool.worker("w1", "r1");
+        pool.submit(false, step(1, 1000), step(1, 1000, 0));
+        List<AdviceQuestion> questions = pool.questions(MANY);
+        assertThat(questions, hasSize(1));
+        assertThat(questions.get(0).stepId().step(), is(0));
+    }
+
+    @Test
+    void workersThatAreNotAllowedAreNeverAskedAboutAgain() {
+        for (int i = 1; i <= 20; i++) {
+            pool.worker("w" + i, "r1");
+        }
+        pool.submit(false, step(1, 1000));
+        AdviceQuestion first = pool.questions(MANY).get(0);
+        assertThat("a small step asks about few", first.workers().size(), lessThanOrEqualTo(6));
+        pool.advise(first);
+        AdviceQuestion second = pool.questions(MANY).get(0);
+        for (WorkerId worker : first.workerIds()) {
+            assertThat(second.workerIds(), not(hasItem(worker)));
+        }
+    }
+
+    @Test
+    void aTicketThatRanOutIsAskedForAgain() {
+        pool.worker("w1", "r1");
+        pool.submit(false, step(1, 1000));
+        pool.advise(pool.questions(MANY).get(0), "w1");
+        pool.advance(Pool.TICKET_VALIDITY.minusMillis(200));
+        assertThat("the start would come too late", pool.starts(), empty());
+        AdviceQuestion again = pool.questions(MANY).get(0);
+        assertThat(again.workerIds(), contains(new WorkerId("w1")));
+        pool.advise(again, "w1");
+        assertThat(pool.starts(), hasSize(1));
+    }
+
+    @Test
+    void aTicketThatAWorkerRefusesIsForgotten() {
+        pool.worker("w1", "r1");
+        pool.submit(false, step(1, 1000));
+        pool.advise(pool.questions(MANY).get(0), "w1");
+        pool.answer(pool.starts().get(0), StartAnswer.NO_TICKET);
+        pool.advance(Duration.ofMillis(200));
+        assertThat(pool.starts(), empty());
+        pool.advise(pool.questions(MANY).get(0), "w1");
+        assertThat(pool.starts().get(0).ticket(), is(Optional.of("ticket-2")));
+    }
+
+    @Test
+    void theNextIncarnationOfAWorkerNeedsATicketOfItsOwn() {
+        WorkerNode last = pool.worker("w1", "r1");
+        pool.submit(false, step(1, 1000));
+        pool.advise(pool.questions(MANY).get(0), "w1");
+        pool.scheduler.workerDied(last);
+        pool.worker("w1", "r1");
+        assertThat(pool.starts(), empty());
+        pool.advise(pool.questions(MANY).get(0), "w1");
+        assertThat(pool.starts(), hasSize(1));
+    }
+
+    @Test
+    void aQuestionWithoutAnAnswerIsSentAgainAfterAPause() {
+        pool.worker("w1", "r1");
+        pool.submit(false, step(1, 1000));
+        pool.scheduler.onAdvice(pool.questions(MANY).get(0), Optional.empty(), pool.now());
+        assertThat(pool.questions(MANY), empty());
+        pool.advance(Duration.ofMillis(250));
+        assertThat(pool.questions(MANY), hasSize(1));
+    }
+
+    /** A surge: more steps wait than the service can be asked about at once. */
+    @Test
+    void theMostUrgentSubmissionsAreAskedAboutFirst() {
+        pool.worker("w1", "r1");
+        for (int i = 0; i < 30; i++) {
+            pool.submit(false, step(4, 8000));
+        }
+        TrackedSubmission small = pool.submit(false, step(1, 1000));
+        List<AdviceQuestion> questions = pool.questions(2);
+        assertThat(questions, hasSize(2));
+        assertThat(questions.get(0).step().submission(), is(small));
+    }
+
+    @Test
+    void aStepWhoseTasksAllHaveRoomAsksNoMore() {
+        WorkerNode worker = pool.worker("w1", "r1");
+        pool.worker("w2", "r1");
+        pool.submit(false, step(2, 1000));
+        pool.advise(pool.questions(MANY).get(0), "w1");
+        assertThat(pool.questions(MANY), empty());
+        List<Placement> starts = pool.startAll();
+        assertThat(pool.questions(MANY), empty());
+        pool.report(worker, end(1, starts.get(0), How.FAILED));
+        assertThat("the ticket holds for the next start too", pool.questions(MANY), empty());
+    }
+}
--- a/core/src/test/java/org/crocusgrade/core/schedule/Pool.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/Pool.java
@@ -3,14 +3,19 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.crocusgrade.core.config.QueueRoute;
+import org.crocusgrade.core.config.QueueRoute.AdvicePolicy;
 import org.crocusgrade.core.id.HostId;
 import org.crocusgrade.core.id.QueueId;
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.port.AdviceService.Advice;
+import org.crocusgrade.core.submission.Recurrence;
 import org.crocusgrade.core.submission.Resources;
 import org.crocusgrade.core.submission.StepSpec;
 import org.crocusgrade.core.submission.SubmissionId;
@@ -24,13 +29,19 @@
     static final ServiceId SERVICE = new ServiceId("quotes");
     static final QueueId QUEUE = new QueueId("quote");
     static final Resources HOST = new Resources(32_000, 131_072, 0);
+    static final Duration TICKET_VALIDITY = Duration.ofSeconds(3);
     static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
 
     final PoolScheduler scheduler;
     private long now = 1_000_000_000L;
     private int submissions;
+    private int ticketNumber;
 
     Pool(long term) {
+        this(term, Optional.empty());
+    }
+
+    Pool(long term, Optional<AdvicePolicy> advice) {
         QueueRoute route =
                 new QueueRoute(
                         QUEUE,
@@ -42,7 +53,7 @@
                         1.6,
                         Duration.ofMillis(600),
                         Duration.ofSeconds(3),
-                        Optional.empty());
+                        advice);
         scheduler = new PoolScheduler(term, s -> route);
     }
 
@@ -52,6 +63,30 @@
         return pool;
     }
 
+    /** A settled pool whose queue's policy allows only some workers. */
+    static Pool advised() {
+        AdvicePolicy policy =
+                new AdvicePolicy(Duration.ofMillis(40), Duration.ofMillis(4), TICKET_VALIDITY);
+        Pool pool = new Pool(1, Optional.of(policy));
+        pool.scheduler.setSettled();
+        return pool;
+    }
+
+    List<AdviceQuestion> questions(int most) {
+        return scheduler.questions(most, now, wall());
+    }
+
+    /** The advice service answers a question: some of the workers are allowed. */
+    void advise(AdviceQuestion question, String... allowed) {
+        now += 100_000_000;
+        Map<WorkerId, String> tickets = new HashMap<>();
+        for (String worker : allowed) {
+            tickets.put(new WorkerId(worker), "ticket-" + ++ticketNumber);
+        }
+        Advice advice = new Advice(tickets, TICKET_VALIDITY);
+        scheduler.onAdvice(question, Optional.of(advice), now);
+    }
+
     void advance(Duration time) {
         now += time.toNanos();
     }
@@ -80,12 +115,17 @@
     }
 
     TrackedSubmission submit(boolean inherited, StepSpec... steps) {
+        return submit(inherited, Optional.empty(), steps);
+    }
+
+    TrackedSubmission submit(
+            boolean inherited, Optional<Recurrence> recurrence, StepSpec... steps) {
         SubmissionId id = new SubmissionId(String.format("%016x", ++submissions));
         TrackedSubmission submission =
                 new TrackedSubmission(
                         id,
                         QUEUE,
-                        new SubmissionSpec("payload", List.of(steps), Optional.empty()),
+                        new SubmissionSpec("payload", List.of(steps), recurrence),
                         3,
                         wall(),
                         now,
--- a/core/src/test/java/org/crocusgrade/core/schedule/StepBuilder.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/StepBuilder.java
@@ -17,6 +17,11 @@
     private boolean longRunning;
     private boolean opportunistic;
     private int maxUnavailable;
+    private boolean rackLocal;
+    private Optional<String> dataRack = Optional.empty();
+    private boolean speculative;
+    private boolean checkpointing;
+    private Optional<Duration> latencyTarget = Optional.empty();
     private Duration estimate = Duration.ofSeconds(1);
 
     StepBuilder(int tasks, int milliCores) {
@@ -55,6 +60,31 @@
         return this;
     }
 
+    StepBuilder rackLocal() {
+        rackLocal = true;
+        return this;
+    }
+
+    StepBuilder dataRack(String rack) {
+        dataRack = Optional.of(rack);
+        return this;
+    }
+
+    StepBuilder speculative() {
+        speculative = true;
+        return this;
+    }
+
+    StepBuilder checkpointing() {
+        checkpointing = true;
+        return this;
+    }
+
+    StepBuilder latencyTarget(Duration target) {
+        latencyTarget = Optional.of(target);
+        return this;
+    }
+
     StepBuilder estimate(Duration time) {
         estimate = time;
         return this;
@@ -67,15 +97,15 @@
                 estimate,
                 after,
                 gang,
-                false,
+                rackLocal,
                 label,
-                Optional.empty(),
+                dataRack,
                 maxPerWorker,
-                false,
-                false,
+                speculative,
+                checkpointing,
                 longRunning,
                 Optional.empty(),
-                Optional.empty(),
+                latencyTarget,
                 opportunistic,
                 maxUnavailable);
     }
--- /dev/null
+++ b/core/src/test/java/org/crocusgrade/core/schedule/StepRulesTest.java
@@ -0,0 +1,173 @@
+package org.crocusgrade.core.schedule;
+
+import static org.crocusgrade.core.schedule.Pool.end;
+import static org.crocusgrade.core.schedule.Pool.step;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.crocusgrade.core.submission.Recurrence;
+import org.crocusgrade.core.submission.StepSpec;
+import org.crocusgrade.core.submission.TaskEnd;
+import org.crocusgrade.core.submission.TaskEnd.How;
+import org.crocusgrade.core.submission.TaskRun;
+import org.junit.jupiter.api.Test;
+
+/** What steps ask for: labels, racks, checkpoints, occurrences. */
+class StepRulesTest {
+    private final Pool pool = Pool.settled();
+
+    @Test
+    void tasksRunOnlyWhereTheLabelIs() {
+        pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(2, 1000).label("r2").build());
+        assertThat(pool.starts(), empty());
+        WorkerNode labelled = pool.worker("w2", "r2");
+        assertThat(workers(pool.starts()), contains(labelled));
+    }
+
+    @Test
+    void tasksWaitAWhileForTheRackOfTheirData() {
+        WorkerNode far = pool.worker("w1", "r1");
+        WorkerNode near = pool.worker("w2", "r2");
+        StepSpec step = new StepBuilder(3, 16_000).dataRack("r2").build();
+        pool.submit(false, step);
+        List<Placement> first = pool.startAll();
+        assertThat(first, hasSize(2));
+        assertThat(workers(first), contains(near));
+        pool.advance(Duration.ofMillis(500));
+        assertThat("the rack may come free", pool.starts(), empty());
+        pool.advance(Duration.ofMillis(500));
+        assertThat(workers(pool.starts()), contains(far));
+    }
+
+    @Test
+    void dataOnARackWithoutWorkersHoldsNothingUp() {
+        pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(1, 1000).dataRack("r9").build());
+        assertThat(pool.starts(), hasSize(1));
+    }
+
+    @Test
+    void aRackLocalStepKeepsToTheRackWithTheMostRoom() {
+        pool.worker("w1", "r1");
+        WorkerNode second = pool.worker("w2", "r2");
+        WorkerNode third = pool.worker("w3", "r2");
+        pool.submit(false, new StepBuilder(4, 16_000).rackLocal().build());
+        List<Placement> starts = pool.starts();
+        assertThat(starts, hasSize(4));
+        assertThat(workers(starts), is(Set.of(second, third)));
+    }
+
+    @Test
+    void aRunGoesOnFromTheLastCheckpoint() {
+        WorkerNode worker = pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(1, 1000).checkpointing().build());
+        Placement first = pool.startAll().get(0);
+        assertThat(first.checkpoint(), is(""));
+        pool.list(worker, List.of(listed(first, "half")));
+        pool.list(worker, List.of(), ended(1, first, "more"));
+        assertThat(pool.starts().get(0).checkpoint(), is("more"));
+    }
+
+    @Test
+    void aCheckpointOfALostRunIsKept() {
+        WorkerNode worker = pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(1, 1000).checkpointing().build());
+        Placement first = pool.startAll().get(0);
+        pool.list(worker, List.of(listed(first, "half")));
+        pool.scheduler.workerDied(worker);
+        pool.worker("w2", "r1");
+        assertThat(pool.starts().get(0).checkpoint(), is("half"));
+    }
+
+    @Test
+    void aStepThatSavesNothingStartsAnew() {
+        WorkerNode worker = pool.worker("w1", "r1");
+        pool.submit(false, step(1, 1000));
+        Placement first = pool.startAll().get(0);
+        pool.list(worker, List.of(), ended(1, first, "odd"));
+        assertThat(pool.starts().get(0).checkpoint(), is(""));
+    }
+
+    @Test
+    void allMembersOfAGangGoOnFromTheSameCheckpoint() {
+        WorkerNode worker = pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(3, 1000).gang().checkpointing().build());
+        List<Placement> first = pool.startAll();
+        pool.list(
+                worker,
+                List.of(),
+                ended(1, first.get(0), ""),
+                ended(2, first.get(1), "half"),
+                ended(3, first.get(2), "half"));
+        List<Placement> again = pool.starts();
+        assertThat(again, hasSize(3));
+        assertThat(again.stream().map(Placement::checkpoint).toList(), everyItem(is("half")));
+    }
+
+    @Test
+    void anOccurrenceStartsWhenItIsDueAndNotBefore() {
+        pool.worker("w1", "r1");
+        Recurrence twice = new Recurrence(2, pool.wall().plusSeconds(2), Duration.ofSeconds(3));
+        pool.submit(false, Optional.of(twice), step(1, 1000));
+        pool.advance(Duration.ofMillis(1990));
+        assertThat(pool.starts(), empty());
+        pool.advance(Duration.ofMillis(10));
+        assertThat(occurrences(pool.startAll()), contains(0));
+        pool.advance(Duration.ofMillis(2900));
+        assertThat(pool.starts(), empty());
+        pool.advance(Duration.ofMillis(100));
+        assertThat("the first may still run", occurrences(pool.startAll()), contains(1));
+    }
+
+    @Test
+    void stepsOfAnOccurrenceWaitOnlyForTheirOwn() {
+        WorkerNode worker = pool.worker("w1", "r1");
+        Recurrence twice = new Recurrence(2, pool.wall(), Duration.ofMillis(100));
+        TrackedSubmission submission =
+                pool.submit(false, Optional.of(twice), step(1, 1000), step(1, 1000, 0));
+        pool.advance(Duration.ofMillis(200));
+        List<Placement> first = pool.startAll();
+        assertThat(first, hasSize(2));
+        pool.report(worker, end(1, first.get(1), How.DONE));
+        List<Placement> next = pool.startAll();
+        assertThat(occurrences(next), contains(1));
+        assertThat(submission.isAllDone(), is(false));
+    }
+
+    @Test
+    void theLimitForAWorkerCountsEachOccurrenceByItself() {
+        pool.worker("w1", "r1");
+        Recurrence twice = new Recurrence(2, pool.wall(), Duration.ofMillis(1));
+        pool.submit(false, Optional.of(twice), new StepBuilder(2, 1000).maxPerWorker(1).build());
+        pool.advance(Duration.ofMillis(10));
+        assertThat(occurrences(pool.starts()), contains(0, 1));
+    }
+
+    private static TaskRun listed(Placement placement, String checkpoint) {
+        return new TaskRun(placement.task().id(), placement.run(), checkpoint, 100, 0);
+    }
+
+    private static TaskEnd ended(long number, Placement placement, String checkpoint) {
+        return new TaskEnd(number, placement.task().id(), placement.run(), How.STOPPED, checkpoint);
+    }
+
+    private static Set<WorkerNode> workers(List<Placement> placements) {
+        Set<WorkerNode> workers = new HashSet<>();
+        placements.forEach(p -> workers.add(p.worker()));
+        return workers;
+    }
+
+    private static List<Integer> occurrences(List<Placement> placements) {
+        return placements.stream().map(p -> p.task().id().step().occurrence()).toList();
+    }
+}
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
@@ -17,11 +17,13 @@
 import org.crocusgrade.core.id.DaemonId;
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.port.AdviceService.Advice;
 import org.crocusgrade.core.port.CommitResult;
 import org.crocusgrade.core.port.FormatException;
 import org.crocusgrade.core.port.KeyValueStore;
 import org.crocusgrade.core.port.StoreEntry;
 import org.crocusgrade.core.port.StoreTransaction;
+import org.crocusgrade.core.submission.StepId;
 import org.crocusgrade.daemon.control.PrefixWatcher;
 import org.crocusgrade.daemon.log.Event;
 import org.crocusgrade.peer.PeerException;
@@ -49,6 +51,7 @@
     private final FleetHolder fleet;
     private DutyKeeper duties;
     private PeerCalls peers;
+    private AdviceDesk advice;
     private SubmissionGateway gateway;
     private Map<String, StoreEntry> operatorEntries = Map.of();
 
@@ -171,6 +174,7 @@
             runtime.after(RETRY_MILLIS, () -> join(key));
             return;
         }
+        advice = new AdviceDesk(runtime, identity.daemon(), peers);
         duties =
                 new DutyKeeper(
                         runtime,
@@ -254,6 +258,7 @@
                         tenure,
                         queues,
                         duties::isConfirmedWithin,
+                        advice,
                         reason -> duties.lose(tenure.duty(), reason));
         owners.put(service, owner);
         registry.follow(true);
@@ -276,6 +281,7 @@
     @Override
     public void onDaemons(Map<DaemonId, InetSocketAddress> daemons) {
         peers.setDaemons(daemons);
+        advice.setDaemons(daemons.keySet());
     }
 
     // Between daemons.
@@ -290,6 +296,12 @@
         owner.handle(call, reply);
     }
 
+    @Override
+    public void onAdviceCall(
+            StepId step, List<WorkerId> workers, Consumer<Optional<Advice>> answer) {
+        advice.answer(step, workers, answer);
+    }
+
     @Override
     public void onPoolStatus(DaemonId from, PoolStatusMessage status) {
         fleet.onPoolStatus(status);
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PeerCalls.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PeerCalls.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -12,6 +13,9 @@
 import org.crocusgrade.core.id.DaemonId;
 import org.crocusgrade.core.id.QueueId;
 import org.crocusgrade.core.id.ServiceId;
+import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.port.AdviceService.Advice;
+import org.crocusgrade.core.submission.StepId;
 import org.crocusgrade.core.submission.SubmissionId;
 import org.crocusgrade.core.submission.SubmissionState;
 import org.crocusgrade.daemon.batch.SubmissionReply.Outcome;
@@ -19,12 +23,15 @@
 import org.crocusgrade.peer.PeerException;
 import org.crocusgrade.peer.PeerLink;
 import org.crocusgrade.peer.PeerListener;
+import org.crocusgrade.peer.proto.AdviceCallMessage;
+import org.crocusgrade.peer.proto.AdviceReplyMessage;
 import org.crocusgrade.peer.proto.Envelope;
 import org.crocusgrade.peer.proto.EvacuationMessage;
 import org.crocusgrade.peer.proto.PoolStatusMessage;
 import org.crocusgrade.peer.proto.SubmissionCallMessage;
 import org.crocusgrade.peer.proto.SubmissionOperation;
 import org.crocusgrade.peer.proto.SubmissionReplyMessage;
+import org.crocusgrade.peer.proto.TicketMessage;
 
 /**
  * Calls between daemons. The link drops what it cannot send, so each call has a deadline; a call
@@ -39,6 +46,7 @@
     private final PeerLink node;
     private final LinkProbes probes;
     private final Map<Long, Consumer<SubmissionReply>> pending = new HashMap<>();
+    private final Map<Long, Consumer<Optional<Advice>>> pendingAdvice = new HashMap<>();
     private final Map<DaemonId, Long> listedNanos = new HashMap<>();
     private long lastCall;
 
@@ -100,6 +108,26 @@
         runtime.after(timeout.toMillis(), () -> expire(number));
     }
 
+    /** Lets another daemon ask for advice; the answer is empty if none comes in time. */
+    void askAdvice(
+            DaemonId to,
+            StepId step,
+            List<WorkerId> workers,
+            Duration timeout,
+            Consumer<Optional<Advice>> answer) {
+        long number = ++lastCall;
+        pendingAdvice.put(number, answer);
+        AdviceCallMessage.Builder message =
+                AdviceCallMessage.newBuilder()
+                        .setCall(number)
+                        .setSubmission(step.submission().value())
+                        .setOccurrence(step.occurrence())
+                        .setStep(step.step());
+        workers.forEach(w -> message.addWorkers(w.value()));
+        send(to, Envelope.newBuilder().setAdviceCall(message).build());
+        runtime.after(timeout.toMillis(), () -> takeAdvice(number, Optional.empty()));
+    }
+
     void send(DaemonId to, PoolStatusMessage status) {
         send(to, Envelope.newBuilder().setPoolStatus(status).build());
     }
@@ -136,6 +164,8 @@
             case SUBMISSION_REPLY -> takeReply(message.getSubmissionReply());
             case POOL_STATUS -> handler.onPoolStatus(from, message.getPoolStatus());
             case EVACUATION -> handler.onEvacuation(message.getEvacuation());
+            case ADVICE_CALL -> takeAdviceCall(from, message.getAdviceCall());
+            case ADVICE_REPLY -> takeAdviceReply(message.getAdviceReply());
             case LINK_PROBE -> probes.onProbe(from, message.getLinkProbe());
             default -> {
                 // Messages of the request path, which this program does not run.
@@ -184,11 +214,60 @@
                         message.getReason()));
     }
 
+    private void takeAdviceCall(DaemonId from, AdviceCallMessage message) {
+        StepId step =
+                new StepId(
+                        new SubmissionId(message.getSubmission()),
+                        message.getOccurrence(),
+                        message.getStep());
+        List<WorkerId> workers = message.getWorkersList().stream().map(WorkerId::new).toList();
+        handler.onAdviceCall(step, workers, a -> answerAdvice(from, message.getCall(), a));
+    }
+
+    private void answerAdvice(DaemonId to, long number, Optional<Advice> advice) {
+        AdviceReplyMessage.Builder message =
+                AdviceReplyMessage.newBuilder().setCall(number).setAnswered(advice.isPresent());
+        if (advice.isPresent()) {
+            message.setValidityMs(Math.toIntExact(advice.get().validity().toMillis()));
+            advice.get()
+                    .tickets()
+                    .forEach(
+                            (worker, ticket) ->
+                                    message.addTickets(
+                                            TicketMessage.newBuilder()
+                                                    .setWorker(worker.value())
+                                                    .setTicket(ticket)));
+        }
+        send(to, Envelope.newBuilder().setAdviceReply(message).build());
+    }
+
+    private void takeAdviceReply(AdviceReplyMessage message) {
+        if (!message.getAnswered()) {
+            takeAdvice(message.getCall(), Optional.empty());
+            return;
+        }
+        Map<WorkerId, String> tickets = new HashMap<>();
+        message.getTicketsList()
+                .forEach(t -> tickets.put(new WorkerId(t.getWorker()), t.getTicket()));
+        Duration validity = Duration.ofMillis(message.getValidityMs());
+        takeAdvice(message.getCall(), Optional.of(new Advice(tickets, validity)));
+    }
+
+    private void takeAdvice(long number, Optional<Advice> advice) {
+        Consumer<Optional<Advice>> answer = pendingAdvice.remove(number);
+        if (answer != null) {
+            answer.accept(advice);
+        }
+    }
+
     /** Gets what other daemons ask and tell. */
     interface Handler {
         /** Another daemon passes a caller's request on. */
         void onCall(SubmissionCall call, Consumer<SubmissionReply> reply);
 
+        /** Another daemon lets this one ask for advice. */
+        void onAdviceCall(StepId step, List<WorkerId> workers, Consumer<Optional<Advice>> answer);
+
         /** The owner of a pool tells what it needs and has. */
         void onPoolStatus(DaemonId from, PoolStatusMessage status);
 
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -5,13 +5,16 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.crocusgrade.core.config.QueueRoute;
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.port.AdviceService.Advice;
 import org.crocusgrade.core.port.WorkerEntry;
 import org.crocusgrade.core.port.WorkerOrders.WorkerReport;
+import org.crocusgrade.core.schedule.AdviceQuestion;
 import org.crocusgrade.core.schedule.Order;
 import org.crocusgrade.core.schedule.Placement;
 import org.crocusgrade.core.schedule.PoolScheduler;
@@ -54,6 +57,7 @@
     private final Tenure tenure;
     private final QueueBook queues;
     private final DutyView duty;
+    private final AdviceDesk advice;
     private final Consumer<String> onRightLost;
     private final PoolScheduler scheduler;
     private final RecordWriter writer;
@@ -71,12 +75,14 @@
             Tenure tenure,
             QueueBook queues,
             DutyView duty,
+            AdviceDesk advice,
             Consumer<String> onRightLost) {
         this.runtime = runtime;
         this.service = service;
         this.tenure = tenure;
         this.queues = queues;
         this.duty = duty;
+        this.advice = advice;
         this.onRightLost = onRightLost;
         scheduler = new PoolScheduler(tenure.term(), this::route);
         writer = new RecordWriter(runtime, service, tenure, scheduler.dirty(), this);
@@ -323,6 +329,19 @@
             poolWorkers.send(order);
         }
         writer.changed();
+        askAdvice(now);
+    }
+
+    private void askAdvice(long now) {
+        Instant wall = runtime.clock().now();
+        for (AdviceQuestion question : scheduler.questions(advice.capacity(), now, wall)) {
+            advice.ask(question, a -> onAdvice(question, a));
+        }
+    }
+
+    private void onAdvice(AdviceQuestion question, Optional<Advice> answer) {
+        scheduler.onAdvice(question, answer, runtime.clock().nanoTime());
+        planSoon();
     }
 
     private void logOrder(Order order) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -1,7 +1,6 @@
 package org.crocusgrade.daemon.batch;
 
 import java.time.Duration;
-import java.util.Optional;
 import java.util.OptionalLong;
 import org.crocusgrade.core.port.OrderException;
 import org.crocusgrade.core.port.WorkerEntry;
@@ -110,7 +109,6 @@
                 .setRunning(node.placements().size())
                 .setLongRunning(node.longRunning())
                 .setEvacuating(node.isEvacuating())
-                .setEmpty(fenced && node.placements().isEmpty())
                 .build();
     }
 
@@ -158,7 +156,7 @@
                         placement.task().step().submission().spec().payload(),
                         leaseUntilMillis,
                         placement.checkpoint(),
-                        Optional.empty());
+                        placement.ticket());
         runtime.orders()
                 .start(target, order)
                 .emitOn(runtime.loop())
@@ -172,6 +170,7 @@
                 switch (reply.outcome()) {
                     case STARTED -> StartAnswer.STARTED;
                     case NO_ROOM -> StartAnswer.NO_ROOM;
+                    case NO_TICKET -> StartAnswer.NO_TICKET;
                     case SUPERSEDED -> StartAnswer.SUPERSEDED;
                     default -> StartAnswer.REFUSED;
                 };
--- a/daemon/src/main/java/org/crocusgrade/daemon/log/Event.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/log/Event.java
@@ -43,6 +43,12 @@
     RUN_ENDED(302, Level.INFO),
     /** A run is to be stopped. */
     RUN_STOPPED(303, Level.INFO),
+    /** The advice service was asked which workers may run a step. */
+    ADVICE_TAKEN(304, Level.INFO),
+    /** The advice service did not answer. */
+    ADVICE_FAILED(305, Level.WARNING),
+    /** The share of a run was changed. */
+    RUN_PACED(306, Level.INFO),
     /** A worker joined a pool. */
     WORKER_JOINED(310, Level.INFO),
     /** A worker's incarnation is over. */
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FaultyDaysTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FaultyDaysTest.java
@@ -18,6 +18,10 @@
  */
 class FaultyDaysTest {
     private static final int SEEDS = 60;
+
+    /** One seed in so many is also played with a queue whose policy allows only some workers. */
+    private static final int ADVISED_PART = 4;
+
     private static final int ROUNDS = 30;
     private static final long ROUND_MILLIS = 1000;
     private static final long CALM_MILLIS = 40_000;
@@ -94,10 +98,38 @@
         assertThat(told, greaterThan(0));
     }
 
+    @Test
+    void aCalmDayServesAllWhereOnlySomeWorkersAreAllowed() {
+        SimFleet fleet = new SimFleet(1, true);
+        for (int i = 0; i < 10; i++) {
+            fleet.submit(5);
+            fleet.time.run(300);
+        }
+        fleet.time.run(5000);
+        assertThat(fleet.accepted.size(), is(10));
+        assertThat(fleet.unfinished(), empty());
+        assertThat(fleet.checks.breaches(), empty());
+        assertThat("no start without a ticket that holds", fleet.checks.starts(), is(50));
+    }
+
+    @ParameterizedTest
+    @MethodSource("advisedSeeds")
+    void aDayOfFaultsKeepsThePromisesWhereOnlySomeWorkersAreAllowed(long seed) {
+        playDay(new SimFleet(seed, true), seed);
+    }
+
+    static List<Long> advisedSeeds() {
+        List<Long> seeds = seeds();
+        return seeds.subList(0, Math.max(1, seeds.size() / ADVISED_PART));
+    }
+
     @ParameterizedTest
     @MethodSource("seeds")
     void aDayOfFaultsKeepsThePromises(long seed) {
-        SimFleet fleet = new SimFleet(seed);
+        playDay(new SimFleet(seed), seed);
+    }
+
+    private static void playDay(SimFleet fleet, long seed) {
         for (int round = 0; round < ROUNDS; round++) {
             fleet.submit(1 + fleet.random.nextInt(8));
             fault(fleet);
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/RecordWriterTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/RecordWriterTest.java
@@ -48,17 +48,12 @@
                         new SimOrders(time, new Random(1), Map.of()),
                         new NoHosts(),
                         null,
-                        new SimFormat(),
+                        new SimFormat(false),
                         time,
                         new Random(1),
                         new SimLoop(time),
                         new EventLog(time),
-                        new Limits(
-                                Duration.ofSeconds(6),
-                                Duration.ofSeconds(120),
-                                Duration.ofSeconds(3),
-                                Duration.ofSeconds(1),
-                                Duration.ofSeconds(6)));
+                        TestLimits.USUAL);
         Tenure tenure = new Tenure(Duty.pool(SERVICE), HOLDER, token, 1);
         writer = new RecordWriter(runtime, SERVICE, tenure, dirty, this);
     }
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
@@ -48,6 +48,7 @@
 
     final SimTime time = new SimTime();
     final Random random;
+    private final boolean advised;
     final SimStore store;
     final SimChecks checks = new SimChecks(time);
     final Map<WorkerId, SimWorker> workers = new LinkedHashMap<>();
@@ -57,10 +58,20 @@
     private int submissions;
 
     SimFleet(long seed) {
+        this(seed, false);
+    }
+
+    /**
+     * Starts a fleet.
+     *
+     * @param advised whether the queue's policy allows only some workers
+     */
+    SimFleet(long seed, boolean advised) {
+        this.advised = advised;
         random = new Random(seed);
         store = new SimStore(time, random);
         for (int i = 0; i < WORKERS; i++) {
-            SimWorker worker = new SimWorker("w" + i, time, checks, TASK_MILLIS);
+            SimWorker worker = new SimWorker("w" + i, time, checks, TASK_MILLIS, advised);
             workers.put(worker.id, worker);
             register(worker);
         }
@@ -198,18 +209,13 @@
                             client,
                             orders,
                             new Hosts(),
-                            null,
-                            new SimFormat(),
+                            new SimAdvice(time, workers),
+                            new SimFormat(advised),
                             time,
                             random,
                             loop,
                             new EventLog(time),
-                            new Limits(
-                                    Duration.ofSeconds(6),
-                                    Duration.ofSeconds(120),
-                                    Duration.ofSeconds(3),
-                                    Duration.ofSeconds(1),
-                                    Duration.ofSeconds(6)));
+                            TestLimits.USUAL);
             InetSocketAddress address = new InetSocketAddress("127.0.0.1", 7000);
             node =
                     new BatchNode(
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFormat.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFormat.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.crocusgrade.core.config.PoolPolicy;
 import org.crocusgrade.core.config.QueueRoute;
+import org.crocusgrade.core.config.QueueRoute.AdvicePolicy;
 import org.crocusgrade.core.config.QueueTable;
 import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.maintenance.WaveRequest;
@@ -20,6 +21,15 @@
 
 /** The simulation's records: a worker's birth as text, a submission's tasks as one byte. */
 final class SimFormat implements PlatformFormat {
+    private static final AdvicePolicy ADVICE =
+            new AdvicePolicy(SimAdvice.DECIDE, SimAdvice.PER_WORKER, SimAdvice.VALIDITY);
+
+    private final boolean advised;
+
+    SimFormat(boolean advised) {
+        this.advised = advised;
+    }
+
     @Override
     public String workerPrefix() {
         return "servers/";
@@ -64,7 +74,7 @@
                         20,
                         Duration.ofSeconds(60),
                         Duration.ofSeconds(3),
-                        Optional.empty());
+                        advised ? Optional.of(ADVICE) : Optional.empty());
         PoolPolicy policy = new PoolPolicy(SimFleet.SERVICE, true, false);
         return new QueueTable(1, List.of(route), Map.of(SimFleet.SERVICE, policy));
     }
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimWorker.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimWorker.java
@@ -26,6 +26,7 @@
     private final SimTime time;
     private final SimChecks checks;
     private final long taskMillis;
+    private final boolean needsTickets;
     private final Map<TaskId, Run> running =
             new TreeMap<>((a, b) -> a.toString().compareTo(b.toString()));
     private final List<TaskEnd> ends = new ArrayList<>();
@@ -40,7 +41,8 @@
     private boolean dark;
     private boolean down;
 
-    SimWorker(String name, SimTime time, SimChecks checks, long taskMillis) {
+    SimWorker(String name, SimTime time, SimChecks checks, long taskMillis, boolean needsTickets) {
+        this.needsTickets = needsTickets;
         id = new WorkerId(name);
         this.time = time;
         this.checks = checks;
@@ -117,6 +119,9 @@
         if (held != null || order.run() <= refusedUpTo.getOrDefault(order.task(), 0L)) {
             return StartOutcome.SUPERSEDED;
         }
+        if (needsTickets && !order.ticket().map(t -> isValid(t, order.task())).orElse(false)) {
+            return StartOutcome.NO_TICKET;
+        }
         running.put(order.task(), new Run(order.run()));
         checks.started(id, order.task(), order.run());
         int begun = life;
@@ -127,6 +132,10 @@
         return StartOutcome.STARTED;
     }
 
+    private boolean isValid(String ticket, TaskId task) {
+        return SimAdvice.isValid(ticket, task.step(), life, time.millis());
+    }
+
     boolean stop(TaskId task, long run, long token) {
         if (isFencedOff(token)) {
             return false;
--- /dev/null
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/TestLimits.java
@@ -0,0 +1,16 @@
+package org.crocusgrade.daemon.batch;
+
+import java.time.Duration;
+
+/** The bounds of a platform like the users', for tests. */
+final class TestLimits {
+    static final Limits USUAL =
+            new Limits(
+                    Duration.ofSeconds(6),
+                    Duration.ofSeconds(120),
+                    Duration.ofSeconds(3),
+                    Duration.ofSeconds(1),
+                    Duration.ofSeconds(6));
+
+    private TestLimits() {}
+}
