Slow opportunistic tasks down before tasks that serve miss their targets

Cause: tasks that only take what others leave were never slowed down, so on a worker that they share with tasks that serve users the tail of response times could stay over its target without bound. Change: a pure decision, the pacer, looks at each report: near the target all opportunistic tasks of the worker are slowed down together, far over it they nearly stand still; they come back in small steps and for some seconds stay below the share that was too much. Such workers answer every half second. New opportunistic tasks go where the most processors are unclaimed, last to workers where they are slowed. Ruled out: no start at all where little is left (a submission could then have nothing running while there is room for it; an older test demands that three start on one worker, and rightly).

--- a/core/src/main/java/org/crocusgrade/core/schedule/Order.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Order.java
@@ -16,6 +16,18 @@
         }
     }
 
+    /**
+     * Set the share of its processors at which a run works.
+     *
+     * @param percent from 0 to 100
+     */
+    record Pace(Placement placement, int percent) implements Order {
+        @Override
+        public WorkerNode worker() {
+            return placement.worker();
+        }
+    }
+
     /**
      * Stop a run, also one that is not there yet.
      *
--- a/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
@@ -21,6 +21,10 @@
     private boolean stopSent;
     private boolean stopAnswered;
     private int percent;
+    private int pacedPercent = FULL_PERCENT;
+    private boolean paceInFlight;
+    private boolean paceSent;
+    private long paceSentNanos;
     private long percentNanos;
     private long load;
 
@@ -134,6 +138,26 @@
         }
     }
 
+    /** Returns whether the worker should be told a share that it has not been told yet. */
+    boolean isPaceDue(int wanted, long now, long retryNanos) {
+        boolean waits = paceSent && now - paceSentNanos < retryNanos;
+        return wanted != pacedPercent && !paceInFlight && !waits;
+    }
+
+    void paceSent(long now) {
+        paceInFlight = true;
+        paceSent = true;
+        paceSentNanos = now;
+    }
+
+    void paceAnswered(int share, boolean answered) {
+        paceInFlight = false;
+        if (answered) {
+            pacedPercent = share;
+            paceSent = false;
+        }
+    }
+
     /** Returns whether a list that was asked for at a time proves the run's absence. */
     boolean isAbsenceCertain(long listAskedNanos) {
         boolean settled = phase == Phase.RUNNING || stopAnswered;
--- a/core/src/main/java/org/crocusgrade/core/schedule/Placer.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placer.java
@@ -13,17 +13,26 @@
  * fullest worker that still fits them, so that whole hosts come free. Long-running tasks go to
  * workers that have such tasks already, as far as the step's limit for a worker allows, and the
  * tasks of one step go to different racks first, so that a lost rack or a maintenance wave takes
- * few of them.
+ * few of them. Opportunistic tasks go where the most processors are unclaimed, so that each has
+ * something to work with and few of them disturb tasks that serve users.
  */
 final class Placer {
     /** How long a task waits for a place on the rack of its data or of its step, in nanoseconds. */
     private static final long RACK_PATIENCE_NANOS = 800_000_000L;
 
+    /** Where opportunistic tasks are slowed down below this, others rather go elsewhere. */
+    private static final int LEAST_SHARE_PERCENT = 30;
+
+    /** More than the processors of any worker, in thousandths of a core. */
+    private static final long LAST_CHOICE = 1L << 40;
+
     private final PoolState pool;
+    private final Pacer pacer;
     private final Set<WorkerNode> reserved = new HashSet<>();
 
-    Placer(PoolState pool) {
+    Placer(PoolState pool, Pacer pacer) {
         this.pool = pool;
+        this.pacer = pacer;
     }
 
     /** Begins a round: nothing is reserved. */
@@ -80,7 +89,7 @@
             if (advised && step.advice().ticket(worker, now).isEmpty()) {
                 continue;
             }
-            long cost = step.spec().longRunning() ? longCost(worker, step) : batchCost(worker);
+            long cost = cost(worker, step);
             if (best == null || cost < bestCost) {
                 best = worker;
                 bestCost = cost;
@@ -180,6 +189,22 @@
         return Math.max(0, Math.min(byCores, byMemory));
     }
 
+    private long cost(WorkerNode worker, StepRun step) {
+        if (step.spec().longRunning()) {
+            return longCost(worker, step);
+        }
+        return step.spec().opportunistic() ? fillCost(worker) : batchCost(worker);
+    }
+
+    /** Tasks that take what is left go where most is left, and away from tasks that serve. */
+    private long fillCost(WorkerNode worker) {
+        long unclaimed = worker.unclaimedMilliCores();
+        if (pacer.percent(worker) < LEAST_SHARE_PERCENT) {
+            return LAST_CHOICE - unclaimed;
+        }
+        return worker.longRunning() > 0 ? -unclaimed / 2 : -unclaimed;
+    }
+
     private static long batchCost(WorkerNode worker) {
         return worker.free().milliCores();
     }
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -38,6 +38,7 @@
     private final StopPlanner stops;
     private final StartPlanner starts;
     private final AdvicePlanner questions;
+    private final Pacer pacer;
     private final ArrivalMeter arrivals = new ArrivalMeter();
     private final CapacityMemory capacity = new CapacityMemory();
 
@@ -50,8 +51,9 @@
     public PoolScheduler(long term, RouteLookup routes) {
         pool = new PoolState(term, routes);
         intake = new ReportIntake(pool, times);
-        stops = new StopPlanner(pool, intake, times);
-        starts = new StartPlanner(pool, outlook);
+        pacer = new Pacer(pool);
+        stops = new StopPlanner(pool, intake, times, pacer);
+        starts = new StartPlanner(pool, outlook, pacer);
         questions = new AdvicePlanner(pool, outlook);
     }
 
@@ -210,10 +212,16 @@
         placement.stopAnswered(answered, now);
     }
 
+    /** Takes the answer, or the lack of one, to the order to work at a share. */
+    public void onPaceAnswer(Placement placement, int percent, boolean answered) {
+        placement.paceAnswered(percent, answered);
+    }
+
     /** Returns the orders that are due. */
     public List<Order> plan(long now, Instant wall) {
         capacity.countedOn(batchCores(now), now);
         List<Order> orders = new ArrayList<>(stops.plan(now));
+        orders.addAll(pacer.plan(now));
         orders.addAll(starts.plan(now, wall));
         return orders;
     }
--- a/core/src/main/java/org/crocusgrade/core/schedule/ReportIntake.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/ReportIntake.java
@@ -54,6 +54,7 @@
             List<TaskEnd> ends,
             long now,
             Instant wall) {
+        worker.setReported(now);
         Set<RunName> listed = new HashSet<>();
         Set<RunName> foreign = new HashSet<>();
         for (TaskRun run : running) {
--- a/core/src/main/java/org/crocusgrade/core/schedule/StartPlanner.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StartPlanner.java
@@ -11,10 +11,10 @@
     private final SubmissionOrder order;
     private final Placer placer;
 
-    StartPlanner(PoolState pool, Outlook outlook) {
+    StartPlanner(PoolState pool, Outlook outlook, Pacer pacer) {
         this.pool = pool;
         this.order = new SubmissionOrder(pool, outlook);
-        this.placer = new Placer(pool);
+        this.placer = new Placer(pool, pacer);
     }
 
     List<Order> plan(long now, Instant wall) {
--- a/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
@@ -49,11 +49,11 @@
     private boolean evacuationsHeld;
     private long evacuateFromNanos;
 
-    StopPlanner(PoolState pool, ReportIntake intake, RunTimeModel times) {
+    StopPlanner(PoolState pool, ReportIntake intake, RunTimeModel times, Pacer pacer) {
         this.pool = pool;
         this.times = times;
         this.intake = intake;
-        placer = new Placer(pool);
+        placer = new Placer(pool, pacer);
     }
 
     /**
--- a/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
@@ -12,6 +12,7 @@
 import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.submission.Resources;
 import org.crocusgrade.core.submission.StepId;
+import org.crocusgrade.core.submission.StepSpec;
 import org.crocusgrade.core.submission.SubmissionId;
 import org.crocusgrade.core.submission.TaskId;
 
@@ -31,6 +32,7 @@
     private boolean silent;
     private boolean draining;
     private boolean evacuating;
+    private long reportedNanos = Long.MIN_VALUE;
     private long lastEnd;
     private long ackCursor;
     private long quarantinedUntilNanos = Long.MIN_VALUE;
@@ -117,6 +119,37 @@
         return false;
     }
 
+    /** Returns whether opportunistic tasks here work beside tasks with a latency target. */
+    public boolean isShared() {
+        boolean serves = false;
+        boolean fills = false;
+        for (Placement placement : placements.values()) {
+            StepSpec spec = placement.task().step().spec();
+            serves |= spec.longRunning() && spec.latencyTarget().isPresent();
+            fills |= spec.opportunistic();
+        }
+        return serves && fills;
+    }
+
+    /** Returns when the worker's last report came. */
+    long reportedNanos() {
+        return reportedNanos;
+    }
+
+    void setReported(long now) {
+        reportedNanos = now;
+    }
+
+    /** Returns the processors that neither reservations nor opportunistic tasks ask for. */
+    long unclaimedMilliCores() {
+        long unclaimed = free().milliCores();
+        for (Placement placement : placements.values()) {
+            StepSpec spec = placement.task().step().spec();
+            unclaimed -= spec.opportunistic() ? spec.demand().milliCores() : 0;
+        }
+        return unclaimed;
+    }
+
     /** Says whether orders may be sent: it is registered, takes work, and knows our token. */
     public void setUsable(boolean now) {
         usable = now;
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,7 @@
 import org.crocusgrade.core.schedule.WorkerNode;
 import org.crocusgrade.core.submission.SubmissionId;
 import org.crocusgrade.core.submission.TaskEnd;
+import org.crocusgrade.core.submission.TaskId;
 import org.crocusgrade.daemon.batch.SubmissionReply.Outcome;
 import org.crocusgrade.daemon.log.Event;
 import org.crocusgrade.peer.proto.PoolStatusMessage;
@@ -286,6 +288,11 @@
         scheduler.onStopAnswer(placement, answered, runtime.clock().nanoTime());
     }
 
+    @Override
+    public void onPaceAnswer(Order.Pace order, boolean answered) {
+        scheduler.onPaceAnswer(order.placement(), order.percent(), answered);
+    }
+
     @Override
     public void onFencedOff(WorkerSession session) {
         onRightLost("worker " + session.node().id() + " has seen a higher token");
@@ -347,30 +354,36 @@
     private void logOrder(Order order) {
         if (order instanceof Order.Start start) {
             Placement placement = start.placement();
-            runtime.log().log(
+            log(
                     Event.RUN_ORDERED,
-                    "task",
+                    order,
                     placement.task().id(),
-                    "run",
                     placement.run(),
-                    "worker",
-                    order.worker().id(),
                     "free",
                     order.worker().free().milliCores(),
                     "config",
                     queues.table().version());
+        } else if (order instanceof Order.Pace pace) {
+            Placement placement = pace.placement();
+            log(
+                    Event.RUN_PACED,
+                    order,
+                    placement.task().id(),
+                    placement.run(),
+                    "percent",
+                    pace.percent());
         } else if (order instanceof Order.Stop stop) {
-            runtime.log().log(
-                    Event.RUN_STOPPED,
-                    "task",
-                    stop.task(),
-                    "run",
-                    stop.run(),
-                    "worker",
-                    order.worker().id());
+            log(Event.RUN_STOPPED, order, stop.task(), stop.run());
         }
     }
 
+    private void log(Event event, Order order, TaskId task, long run, Object... more) {
+        List<Object> fields = new ArrayList<>();
+        fields.addAll(List.of("task", task, "run", run, "worker", order.worker().id()));
+        fields.addAll(List.of(more));
+        runtime.log().log(event, fields.toArray());
+    }
+
     private QueueRoute route(TrackedSubmission submission) {
         return queues.lastKnown(submission.queue())
                 .orElseGet(() -> QueueBook.unknownQueue(submission.queue(), service));
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -47,6 +47,9 @@
     /** How long an answer waits while a long-running task is not yet at work. */
     private static final Duration SETTLING_WAIT = Duration.ofMillis(400);
 
+    /** How long an answer waits while tails are to be watched, which cover half a second. */
+    private static final Duration SHARED_WAIT = Duration.ofMillis(500);
+
     /** Calls without an answer after which no new run is placed. */
     private static final int SILENT_CALLS = 1;
 
@@ -142,11 +145,29 @@
             sendStart(start.placement());
             return;
         }
+        if (order instanceof Order.Pace pace) {
+            sendPace(pace);
+            return;
+        }
         if (order instanceof Order.Stop stop) {
             sendStop(stop);
         }
     }
 
+    private void sendPace(Order.Pace pace) {
+        Placement placement = pace.placement();
+        runtime.orders()
+                .pace(target, placement.task().id(), placement.run(), pace.percent())
+                .emitOn(runtime.loop())
+                .subscribe()
+                .with(
+                        clock -> {
+                            calibrate(clock);
+                            listener.onPaceAnswer(pace, true);
+                        },
+                        f -> listener.onPaceAnswer(pace, false));
+    }
+
     private void sendStart(Placement placement) {
         extendTo(leaseEnd());
         StartRun order =
@@ -214,8 +235,7 @@
             extendTo(leaseEnd());
             lease = OptionalLong.of(leaseUntilMillis);
         }
-        Duration settled = node.hasTaskSettling() ? SETTLING_WAIT : HOLD_WAIT;
-        Duration wait = failures > 0 || !fenced ? Duration.ZERO : settled;
+        Duration wait = failures > 0 || !fenced ? Duration.ZERO : patience();
         long asked = runtime.clock().nanoTime();
         runtime.orders()
                 .hold(target, new Hold(lease, node.ackCursor(), wait))
@@ -224,6 +244,13 @@
                 .with(r -> onReport(asked, r), this::onHoldFailure);
     }
 
+    private Duration patience() {
+        if (node.hasTaskSettling()) {
+            return SETTLING_WAIT;
+        }
+        return node.isShared() ? SHARED_WAIT : HOLD_WAIT;
+    }
+
     private void onReport(long asked, WorkerReport report) {
         holding = false;
         if (closed) {
@@ -322,6 +349,9 @@
         /** A stop was answered, or never will be. */
         void onStopAnswer(Placement placement, boolean answered);
 
+        /** An order to work at a share was answered, or never will be. */
+        void onPaceAnswer(Order.Pace order, boolean answered);
+
         /** The worker has seen a higher token than this owner's. */
         void onFencedOff(WorkerSession session);
 
