Refuse at once what a store that does not answer could not keep

Change: a circuit breaker in the record writer. After two failures in a row, or while the oldest write has been out for 0.9 s, new submissions are refused with 503 before anything is sent, so that 'has not run' is true; those that were sent stay open until the store tells. One read at a time asks whether the store is back; writes wait for it. Ruled out: opening at the first failure (one lost answer among others is not an outage); letting new submissions ask (each would risk an answer that nobody can give). Conclusion: callers learn at once to come back.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -173,6 +173,7 @@
     void tick() {
         if (loaded && !stopped) {
             poolWorkers.tick();
+            writer.tick();
             planSoon();
         }
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordWriter.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordWriter.java
@@ -8,6 +8,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -57,9 +58,11 @@
     private final Deque<TrackedSubmission> expired = new ArrayDeque<>();
     private final Map<SubmissionId, Long> revisions = new HashMap<>();
     private final Set<TrackedSubmission> beingWritten = new HashSet<>();
-    private int inFlight;
+    private final Set<Batch> inFlight = new LinkedHashSet<>();
+    private final StoreBreaker breaker = new StoreBreaker();
     private boolean stopped;
     private boolean gathering;
+    private boolean probing;
 
     RecordWriter(
             Runtime runtime,
@@ -79,8 +82,12 @@
         revisions.put(id, revision);
     }
 
-    /** Stores a new submission. */
+    /** Stores a new submission, unless the store is known not to answer. */
     void create(TrackedSubmission submission, byte[] record, Consumer<CreateResult> done) {
+        if (isUnavailable()) {
+            done.accept(CreateResult.NOT_STORED);
+            return;
+        }
         creations.add(new Creation(submission, record, done));
         flush();
     }
@@ -103,13 +110,61 @@
         expired.add(submission);
     }
 
+    /** Tells those whose submissions were never sent to a store that does not answer. */
+    void tick() {
+        if (isUnavailable()) {
+            refuseUnsent();
+        }
+    }
+
+    private boolean isUnavailable() {
+        long now = runtime.clock().nanoTime();
+        boolean overdue =
+                !inFlight.isEmpty() && breaker.isOverdue(inFlight.iterator().next().sentNanos, now);
+        return overdue || breaker.isOpen();
+    }
+
+    private void refuseUnsent() {
+        List<Creation> unsent = new ArrayList<>();
+        creations.removeIf(c -> !c.attempted && unsent.add(c));
+        unsent.forEach(c -> c.done.accept(CreateResult.NOT_STORED));
+    }
+
+    /** Asks the store for the duty until it answers; what is to be written waits meanwhile. */
+    private void probe() {
+        if (probing || stopped || !breaker.isOpen()) {
+            return;
+        }
+        probing = true;
+        runtime.store()
+                .get(tenure.key())
+                .emitOn(runtime.loop())
+                .subscribe()
+                .with(
+                        e -> {
+                            probing = false;
+                            breaker.answered();
+                            runtime.log().log(
+                                    Event.DEPENDENCY_REGAINED,
+                                    "dependency",
+                                    "store",
+                                    "pool",
+                                    service);
+                            flush();
+                        },
+                        f -> {
+                            probing = false;
+                            runtime.after(RETRY_MILLIS, this::probe);
+                        });
+    }
+
     boolean isStopped() {
         return stopped;
     }
 
     /** Returns whether nothing waits to be written. */
     boolean isIdle() {
-        return inFlight == 0 && creations.isEmpty() && dirty.isEmpty();
+        return inFlight.isEmpty() && creations.isEmpty() && dirty.isEmpty();
     }
 
     /** Writes nothing any more; what waits is told that nobody knows. */
@@ -129,7 +184,7 @@
     }
 
     private void flush() {
-        while (inFlight < MAX_IN_FLIGHT && !stopped) {
+        while (inFlight.size() < MAX_IN_FLIGHT && !stopped && !breaker.isOpen()) {
             Batch batch = nextBatch();
             if (batch.isEmpty()) {
                 return;
@@ -139,7 +194,8 @@
     }
 
     private void send(Batch batch) {
-        inFlight++;
+        inFlight.add(batch);
+        batch.sentNanos = runtime.clock().nanoTime();
         batch.progress.forEach(p -> beingWritten.add(p.submission));
         runtime.store()
                 .commit(batch.change.build())
@@ -179,12 +235,13 @@
     }
 
     private void end(Batch batch) {
-        inFlight--;
+        inFlight.remove(batch);
         batch.progress.forEach(p -> beingWritten.remove(p.submission));
     }
 
     private void onAnswer(Batch batch, CommitResult result) {
         end(batch);
+        breaker.answered();
         if (stopped) {
             batch.creations.forEach(c -> c.done.accept(settle(result)));
             return;
@@ -286,7 +343,17 @@
             creation.attempted |= !untouched;
             creations.addLast(creation);
         }
-        runtime.after(RETRY_MILLIS, this::flush);
+        boolean wasOpen = breaker.isOpen();
+        breaker.failed(batch.sentNanos, runtime.clock().nanoTime());
+        if (!breaker.isOpen()) {
+            runtime.after(RETRY_MILLIS, this::flush);
+            return;
+        }
+        if (!wasOpen) {
+            runtime.log().log(Event.DEPENDENCY_LOST, "dependency", "store", "pool", service);
+        }
+        refuseUnsent();
+        runtime.after(RETRY_MILLIS, this::probe);
     }
 
     /** Returns whether a submission's records may be deleted. */
@@ -345,6 +412,7 @@
         private final List<Creation> creations = new ArrayList<>();
         private final List<Progress> progress = new ArrayList<>();
         private final List<TrackedSubmission> expired = new ArrayList<>();
+        private long sentNanos;
 
         void add(Creation creation) {
             change.expect(creation.key(), KeyValueStore.ABSENT);
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/RecordWriterTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/RecordWriterTest.java
@@ -3,7 +3,9 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -36,6 +38,7 @@
     private final Set<TrackedSubmission> dirty = new LinkedHashSet<>();
     private final List<CreateResult> results = new ArrayList<>();
     private final List<String> lost = new ArrayList<>();
+    private final SimStore.Client client = store.client();
     private RecordWriter writer;
 
     @BeforeEach
@@ -44,7 +47,7 @@
         long token = store.read(HOLDER).orElseThrow().revision();
         Runtime runtime =
                 new Runtime(
-                        store.client(),
+                        client,
                         new SimOrders(time, new Random(1), Map.of()),
                         new NoHosts(),
                         null,
@@ -126,6 +129,64 @@
                 is(revision));
     }
 
+    /** A queue surges while the store is down: nobody waits for an answer that will not come. */
+    @Test
+    void whileTheStoreDoesNotAnswerSubmissionsAreRefusedBeforeAnythingIsSent() {
+        client.setCut(true);
+        create(submission(1));
+        time.run(2000);
+        for (int i = 2; i < 20; i++) {
+            create(submission(i));
+            assertThat(results, hasSize(i - 1));
+            assertThat(results.get(i - 2), is(CreateResult.NOT_STORED));
+            assertThat(store.read(StoreKeys.submission(id(i))), is(Optional.empty()));
+        }
+    }
+
+    @Test
+    void aWriteThatIsOutForLongRefusesWhatWaitsBehindIt() {
+        store.setLostShare(1);
+        for (int i = 1; i <= 3; i++) {
+            create(submission(i));
+        }
+        create(submission(4));
+        time.run(800);
+        writer.tick();
+        assertThat("a slow store gets its time", results, empty());
+        time.run(200);
+        writer.tick();
+        assertThat(results, contains(CreateResult.NOT_STORED));
+    }
+
+    @Test
+    void submissionsAreTakenAgainOnceTheStoreAnswers() {
+        client.setCut(true);
+        create(submission(1));
+        time.run(2000);
+        client.setCut(false);
+        time.run(1500);
+        assertThat("what was sent is resolved", results, contains(CreateResult.CREATED));
+        create(submission(2));
+        time.run(50);
+        assertThat(results, contains(CreateResult.CREATED, CreateResult.CREATED));
+    }
+
+    @Test
+    void onlyOneCallAtATimeAsksWhetherTheStoreIsBack() {
+        store.setDown(true);
+        for (int i = 1; i <= 9; i++) {
+            create(submission(i));
+            time.run(20);
+        }
+        int before = store.calls();
+        time.run(1500);
+        assertThat(store.calls() - before, lessThan(12));
+    }
+
+    private static SubmissionId id(int number) {
+        return new SubmissionId(String.format("%016x", number));
+    }
+
     private void create(TrackedSubmission submission) {
         writer.create(submission, new byte[] {7}, results::add);
     }
@@ -150,7 +211,7 @@
                         false,
                         0);
         return new TrackedSubmission(
-                new SubmissionId(String.format("%016x", number)),
+                id(number),
                 new QueueId("quote"),
                 new SubmissionSpec("payload", List.of(step), Optional.empty()),
                 3,
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimStore.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimStore.java
@@ -36,6 +36,7 @@
     private long lastLease;
     private boolean down;
     private double lostShare;
+    private int calls;
 
     SimStore(SimTime time, Random random) {
         this.time = time;
@@ -74,6 +75,11 @@
         return new Client();
     }
 
+    /** Returns how many calls have arrived. */
+    int calls() {
+        return calls;
+    }
+
     private CommitResult apply(StoreTransaction change) {
         Map<String, StoreEntry> current = new HashMap<>();
         boolean holds = true;
@@ -198,6 +204,7 @@
         }
 
         private <T> void arrive(UniEmitter<? super T> emitter, Supplier<T> body) {
+            calls++;
             if (cut) {
                 time.afterMillis(TIMEOUT_MILLIS, () -> fail(emitter, Kind.ANSWER_LOST));
                 return;
