Give a surging pool what arrives and works off its backlog, beside its long-running tasks

The need of a surging pool was the greater of its surge and of what its tasks take, and the cores of long-running tasks counted as if batch tasks could have them. Change: owners report long-running and batch cores and the backlog; a surging pool's target is its surge and the backlog over one second, beside the long-running tasks; a host stays one second; one that was never seen before may go at once.

--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolBalancer.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolBalancer.java
@@ -17,13 +17,16 @@
  * Decides which hosts go to which pool.
  *
  * <p>Load: queues surge in turns, each asking for several times its pool for some seconds, while
- * the others need little. A pool's need is what its runs take and its tasks wait for, or the height
- * of the surge that is forecast to begin before a host that is sent now would arrive. Pools that
- * lack hosts get them from the standby pool first, then from pools with more than they need,
- * emptiest hosts first; hosts with long-running tasks stay. What no pool needs now or in the next
- * surge goes to the standby pool after it has been idle for a while. A move costs little against a
- * second of waiting work, so nothing is weighed beyond whole hosts: a pool must lack most of a host
- * before one is sent.
+ * the others need little. A pool should have what its long-running tasks take, and for the rest
+ * what its tasks take and wait for; while it surges, as much as arrives and what works off the
+ * backlog within a second or so, since all that has piled up is late; and before a surge that is
+ * forecast, its height. Pools that lack hosts get them from the standby pool first, then from pools
+ * with more than they need, emptiest hosts first; hosts with long-running tasks stay. What no pool
+ * needs now or in the next surge goes to the standby pool after it has been idle for a while. A
+ * move costs little against a second of waiting work, so nothing is weighed beyond whole hosts: a
+ * pool must lack most of a host before one is sent. Worked case: 100 cores arrive, 150 core-seconds
+ * have piled up, long-running tasks take 20: the pool should have 270 cores. Slow where a surge is
+ * the first of its pool: nothing is sent before work waits.
  */
 public final class PoolBalancer {
     /** The time to empty and move a host: a surge nearer than this is prepared for. */
@@ -35,11 +38,14 @@
     /** The part of a host that a pool must lack before it gets one. */
     private static final double LACK_PART = 0.4;
 
+    /** The time in which a surging pool should work off what has piled up, in seconds. */
+    private static final double CATCH_UP_SECONDS = 1.0;
+
     /** What a quiet pool keeps free for what comes next, in hosts. */
     private static final double SPARE_HOSTS = 0.7;
 
     /** How long a host that came to a pool stays at least, in seconds. */
-    private static final double DWELL_SECONDS = 2.0;
+    private static final double DWELL_SECONDS = 1.0;
 
     /** The part of an even share of all hosts below which no host of a pool goes to standby. */
     private static final double KEPT_SHARE = 0.5;
@@ -89,7 +95,10 @@
 
     private void observe(double now, List<HostView> hosts) {
         for (HostView host : hosts) {
-            if (!host.pool().equals(seenIn.put(host.host(), host.pool()))) {
+            ServiceId last = seenIn.put(host.host(), host.pool());
+            if (last == null) {
+                since.put(host.host(), now - DWELL_SECONDS);
+            } else if (!last.equals(host.pool())) {
                 since.put(host.host(), now);
             }
             if (host.known() && host.running() == 0) {
@@ -100,21 +109,24 @@
         }
     }
 
+    /**
+     * Returns the processors that a pool should have. What its tasks take and wait for says too
+     * little while the pool surges: as much again arrives, and what has piled up is late already.
+     */
     private double target(PoolNeed need, double now) {
         ServiceId pool = need.pool();
-        double wanted = need.wantedCores();
+        double batch = need.batchCores();
         Optional<TurnForecast.Next> next = forecast.next(now);
         boolean soon =
                 next.isPresent()
                         && next.get().pool().equals(pool)
                         && next.get().inSeconds() < LEAD_SECONDS;
         if (soon) {
-            return Math.max(wanted, wanted + forecast.peak(pool));
-        }
-        if (forecast.isSurging(pool) && forecast.surgeLeft(pool, now) > ENDING_SECONDS) {
-            return Math.max(wanted, forecast.peak(pool));
+            batch += forecast.peak(pool);
+        } else if (forecast.isSurging(pool) && forecast.surgeLeft(pool, now) > ENDING_SECONDS) {
+            batch = Math.max(batch, forecast.peak(pool) + need.backlog() / CATCH_UP_SECONDS);
         }
-        return wanted;
+        return need.longRunningCores() + batch;
     }
 
     private static double capacity(
--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolNeed.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolNeed.java
@@ -7,9 +7,11 @@
  * What the owner of a pool reports.
  *
  * @param pool the pool
- * @param wantedCores processors that runs take or that startable tasks wait for
+ * @param longRunningCores processors that long-running tasks take
+ * @param batchCores processors that tasks of other submissions take or, startable, wait for
+ * @param backlog work that is left of those submissions, in core-seconds
  */
-public record PoolNeed(ServiceId pool, double wantedCores) {
+public record PoolNeed(ServiceId pool, double longRunningCores, double batchCores, double backlog) {
     /** Checks the fields. */
     public PoolNeed {
         Objects.requireNonNull(pool);
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -11,6 +11,7 @@
 import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.port.AdviceService.Advice;
 import org.crocusgrade.core.schedule.Placement.Phase;
+import org.crocusgrade.core.submission.StepSpec;
 import org.crocusgrade.core.submission.SubmissionId;
 import org.crocusgrade.core.submission.SubmissionSpec;
 import org.crocusgrade.core.submission.SubmissionState;
@@ -267,11 +268,23 @@
         return arrivals.milliCores(now);
     }
 
-    /** Returns the processors that runs take, in thousandths of a core. */
-    public long usedMilliCores() {
+    /** Returns the processors that long-running tasks take, in thousandths of a core. */
+    public long longRunningMilliCores() {
+        return reservedMilliCores(true);
+    }
+
+    /** Returns the processors that tasks of other submissions take, in thousandths of a core. */
+    public long batchMilliCores() {
+        return reservedMilliCores(false);
+    }
+
+    private long reservedMilliCores(boolean longRunning) {
         long sum = 0;
         for (WorkerNode worker : pool.workers().values()) {
-            sum += worker.capacity().minus(worker.free()).milliCores();
+            for (Placement placement : worker.placements()) {
+                StepSpec spec = placement.task().step().spec();
+                sum += spec.longRunning() == longRunning ? spec.reserved().milliCores() : 0;
+            }
         }
         return sum;
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetHolder.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetHolder.java
@@ -143,7 +143,11 @@
             if (isFresh(entry.getValue())) {
                 needs.put(
                         entry.getKey(),
-                        new PoolNeed(entry.getKey(), message.getWantedMilliCores() / MILLI));
+                        new PoolNeed(
+                                entry.getKey(),
+                                message.getLongRunningMilliCores() / MILLI,
+                                message.getBatchMilliCores() / MILLI,
+                                message.getBacklogCoreMillis() / MILLI));
             }
         }
         return needs;
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -135,7 +135,9 @@
                         .setService(service.value())
                         .setSequence(++statusSequence)
                         .setWaitingMilliCores(waiting)
-                        .setWantedMilliCores(scheduler.usedMilliCores() + waiting)
+                        .setBatchMilliCores(scheduler.batchMilliCores() + waiting)
+                        .setLongRunningMilliCores(scheduler.longRunningMilliCores())
+                        .setBacklogCoreMillis(Math.round(scheduler.backlogCoreMillis()))
                         .setOfferedMilliCores(scheduler.offeredMilliCores(now));
         for (WorkerSession session : poolWorkers.sessions()) {
             if (session.isFenced()) {
