Count a gang's failed runs over a take-over

The failed runs of a gang are counted on its step, and a new owner restored only those of its tasks, so each owner counted from none. Change: what is restored of a task counts for its gang. Figures: the new test failed before and passes after.

--- a/core/src/main/java/org/crocusgrade/core/schedule/Task.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Task.java
@@ -55,6 +55,9 @@
     public void restore(Iterable<Long> failed, String saved) {
         for (long run : failed) {
             failedRuns.add(run);
+            if (step.spec().gang()) {
+                step.failGang(run);
+            }
         }
         checkpoint = saved;
     }
--- a/core/src/test/java/org/crocusgrade/core/schedule/StepRulesTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/StepRulesTest.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import org.crocusgrade.core.submission.Recurrence;
 import org.crocusgrade.core.submission.StepSpec;
+import org.crocusgrade.core.submission.SubmissionState;
 import org.crocusgrade.core.submission.TaskEnd;
 import org.crocusgrade.core.submission.TaskEnd.How;
 import org.crocusgrade.core.submission.TaskRun;
@@ -114,6 +115,20 @@
         assertThat(again.stream().map(Placement::checkpoint).toList(), everyItem(is("half")));
     }
 
+    @Test
+    void failedRunsOfAGangCountAfterATakeOver() {
+        Pool next = new Pool(2);
+        WorkerNode worker = next.worker("w1", "r1");
+        TrackedSubmission gang = next.submit(true, new StepBuilder(3, 1000).gang().build());
+        gang.occurrences().get(0).get(0).tasks().get(0).restore(List.of(10L), "");
+        gang.occurrences().get(0).get(0).tasks().get(1).restore(List.of(10L, 11L), "");
+        next.scheduler.setSettled();
+        List<Placement> third = next.startAll();
+        assertThat(third, hasSize(3));
+        next.report(worker, end(1, third.get(2), How.FAILED));
+        assertThat(gang.outcome(), is(SubmissionState.FAILED));
+    }
+
     @Test
     void anOccurrenceStartsWhenItIsDueAndNotBefore() {
         pool.worker("w1", "r1");
