--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/RecentValues.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/RecentValues.java
@@ -1,6 +1,8 @@
 package org.crocusgrade.core.fleet.plan;
 
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 
 /** The last few values of a quantity, with their median and spread. */
 final class RecentValues {
@@ -15,6 +17,15 @@
         count++;
     }
 
+    /** Returns the values, the oldest first. */
+    List<Double> values() {
+        List<Double> kept = new ArrayList<>(size());
+        for (int i = count - size(); i < count; i++) {
+            kept.add(values[i % KEPT]);
+        }
+        return kept;
+    }
+
     int size() {
         return Math.min(count, KEPT);
     }
--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/SurgeHistory.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/SurgeHistory.java
@@ -1,5 +1,8 @@
 package org.crocusgrade.core.fleet.plan;
 
+import java.util.Optional;
+import org.crocusgrade.core.id.ServiceId;
+
 /**
  * What was learned of one pool's demand: whether it surges now, its two levels, and how long its
  * surges last and how far apart they start. All times are seconds since the learner's first digest.
@@ -42,6 +45,32 @@
     private boolean surging;
     private boolean startKnown;
 
+    SurgeHistory() {}
+
+    /** Goes on from what another has learned; it may have been a while ago. */
+    SurgeHistory(TurnMemory.PoolMemory memory, double now) {
+        low = memory.low();
+        high = memory.high();
+        quiet = low;
+        surging = memory.surging();
+        last = surging ? high : low;
+        lastAt = now;
+        startKnown = !Double.isNaN(memory.sinceStart());
+        start = now - memory.sinceStart();
+        if (!Double.isNaN(memory.peak())) {
+            peaks.add(memory.peak());
+        }
+    }
+
+    TurnMemory.PoolMemory memory(ServiceId pool, Optional<ServiceId> follower, double now) {
+        double peak = peaks.size() > 0 ? peaks.median() : peak();
+        return new TurnMemory.PoolMemory(pool, low, high, peak, now - start(), surging, follower);
+    }
+
+    boolean hasRange() {
+        return !Double.isNaN(lastAt);
+    }
+
     /** Takes one digest in; returns whether a surge started with it. */
     boolean observe(double at, double level) {
         if (Double.isNaN(lastAt)) {
--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/TurnForecast.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/TurnForecast.java
@@ -1,6 +1,8 @@
 package org.crocusgrade.core.fleet.plan;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.crocusgrade.core.id.ServiceId;
@@ -20,7 +22,7 @@
 
     private final Map<ServiceId, SurgeHistory> pools = new HashMap<>();
     private final Map<ServiceId, ServiceId> followers = new HashMap<>();
-    private final RecentValues lags = new RecentValues();
+    private RecentValues lags = new RecentValues();
     private Optional<ServiceId> latest = Optional.empty();
     private double latestStart = Double.NaN;
 
@@ -29,11 +31,12 @@
      *
      * @param at the time, in seconds from any origin
      * @param cores the work that arrives, in core-seconds a second
+     * @return whether a surge of the pool has started
      */
-    public void observe(ServiceId pool, double at, double cores) {
+    public boolean observe(ServiceId pool, double at, double cores) {
         SurgeHistory history = pools.computeIfAbsent(pool, p -> new SurgeHistory());
         if (!history.observe(at, cores)) {
-            return;
+            return false;
         }
         double start = history.start();
         if (latest.isPresent() && !latest.get().equals(pool) && start > latestStart) {
@@ -42,6 +45,38 @@
         }
         latest = Optional.of(pool);
         latestStart = start;
+        return true;
+    }
+
+    /** Returns what was learned, for another forecast to go on from. */
+    public TurnMemory memory(double now) {
+        List<TurnMemory.PoolMemory> known = new ArrayList<>();
+        pools.forEach(
+                (pool, history) -> {
+                    if (history.hasRange()) {
+                        Optional<ServiceId> next = Optional.ofNullable(followers.get(pool));
+                        known.add(history.memory(pool, next, now));
+                    }
+                });
+        return new TurnMemory(lags.values(), latest, known);
+    }
+
+    /** Forgets all and goes on from what another forecast has learned. */
+    public void restore(TurnMemory memory, double now) {
+        pools.clear();
+        followers.clear();
+        lags = new RecentValues();
+        memory.lags().forEach(lags::add);
+        latest = Optional.empty();
+        latestStart = Double.NaN;
+        for (TurnMemory.PoolMemory known : memory.pools()) {
+            pools.put(known.pool(), new SurgeHistory(known, now));
+            known.follower().ifPresent(f -> followers.put(known.pool(), f));
+            if (memory.latest().equals(Optional.of(known.pool()))) {
+                latest = memory.latest();
+                latestStart = now - known.sinceStart();
+            }
+        }
     }
 
     /** Returns whether a pool surges now. */
--- a/core/src/test/java/org/crocusgrade/core/fleet/plan/TurnForecastTest.java
+++ b/core/src/test/java/org/crocusgrade/core/fleet/plan/TurnForecastTest.java
@@ -50,6 +50,30 @@
         assertThat(forecast.next(now + 2 * TURN), is(Optional.empty()));
     }
 
+    @Test
+    void anotherForecastGoesOnFromWhatOneHasLearned() {
+        double now = TURN * 5 + 1;
+        play(now);
+        TurnForecast next = new TurnForecast();
+        next.restore(forecast.memory(now), now);
+        assertThat(next.next(now), is(forecast.next(now)));
+        assertThat(next.isSurging(POOLS.get(1)), is(true));
+        assertThat(next.peak(POOLS.get(2)), closeTo(forecast.peak(POOLS.get(2)), 1));
+        assertThat(
+                "no second start in the same surge",
+                next.observe(POOLS.get(1), now, 400),
+                is(false));
+        assertThat(next.observe(POOLS.get(2), now + TURN, 400), is(true));
+        assertThat(next.next(now + TURN).orElseThrow().pool(), is(POOLS.get(3)));
+    }
+
+    @Test
+    void aForecastThatHasSeenNothingLeavesNothing() {
+        TurnForecast next = new TurnForecast();
+        next.restore(forecast.memory(0), 5);
+        assertThat(next.next(5), is(Optional.empty()));
+    }
+
     private void play(double until) {
         for (double at = -3; at < until; at += 0.1) {
             for (int i = 0; i < POOLS.size(); i++) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
@@ -265,6 +265,11 @@
         new PoolLoader(runtime, owner, registry).start();
     }
 
+    @Override
+    public Optional<byte[]> noteForNext(Tenure tenure) {
+        return tenure.duty().equals(Duty.FLEET) ? fleet.noteForNext() : Optional.empty();
+    }
+
     @Override
     public void onLost(Tenure tenure) {
         if (tenure.duty().equals(Duty.FLEET)) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyKeeper.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyKeeper.java
@@ -151,9 +151,14 @@
     }
 
     private void release(Tenure tenure) {
+        StoreTransaction.Builder change =
+                StoreTransaction.builder()
+                        .expect(tenure.key(), tenure.token())
+                        .delete(tenure.key());
+        listener.noteForNext(tenure).ifPresent(n -> change.put(StoreKeys.FLEET_NOTE, n));
         lose(tenure.duty(), "handed back");
         runtime.store()
-                .delete(tenure.key(), tenure.token())
+                .commit(change.build())
                 .subscribe()
                 .with(v -> {}, f -> lease.onCallFailed("release " + tenure.duty(), f));
     }
@@ -319,6 +324,9 @@
         /** This daemon no longer holds a duty. */
         void onLost(Tenure tenure);
 
+        /** Returns what the next holder should know when this daemon hands a duty back. */
+        Optional<byte[]> noteForNext(Tenure tenure);
+
         /** The daemons that run, with their addresses for each other. */
         void onDaemons(Map<DaemonId, InetSocketAddress> daemons);
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetHolder.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetHolder.java
@@ -18,9 +18,12 @@
 import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.maintenance.HostView;
 import org.crocusgrade.core.port.CommitResult;
+import org.crocusgrade.core.port.FormatException;
 import org.crocusgrade.core.port.HostControl.PooledHost;
 import org.crocusgrade.core.port.HostControl.Right;
+import org.crocusgrade.core.port.HostControl.State;
 import org.crocusgrade.core.port.StoreEntry;
+import org.crocusgrade.core.port.StoreTransaction;
 import org.crocusgrade.daemon.log.Event;
 import org.crocusgrade.peer.proto.EvacuationMessage;
 import org.crocusgrade.peer.proto.PoolStatusMessage;
@@ -61,8 +64,11 @@
     private Map<HostId, PooledHost> hosts = Map.of();
     private Set<ServiceId> standbyPools = Set.of();
     private Set<HostId> evacuating = Set.of();
-    private Set<ServiceId> toldPools = Set.of();
+    private final Set<ServiceId> toldPools = new HashSet<>();
+    private final Map<HostId, Long> orderedNanos = new HashMap<>();
     private Optional<Tenure> tenure = Optional.empty();
+    private Set<HostId> orderedByFormer = Set.of();
+    private boolean handedOver;
     private DutyKeeper duties;
     private long gainedNanos;
     private long lookedNanos;
@@ -85,10 +91,79 @@
         duties = keeper;
         gainedNanos = runtime.clock().nanoTime();
         hosts = Map.of();
+        orderedNanos.clear();
+        takeNote(gained, keeper.entries().get(StoreKeys.FLEET_NOTE));
         waves.begin(keeper.entries());
         mover.begin();
     }
 
+    /** Goes on where the last holder has stopped, as far as it has left a note. */
+    private void takeNote(Tenure gained, StoreEntry entry) {
+        handedOver = false;
+        orderedByFormer = Set.of();
+        if (entry == null) {
+            return;
+        }
+        try {
+            FleetNote note = FleetNote.decode(entry.value());
+            handedOver = note.handedBack() && note.term() == gained.term() - 1;
+            orderedByFormer = note.orderedHosts();
+            forecast.restore(note.turnsAt(runtime.clock().now()), seconds());
+            runtime.log().log(
+                    Event.FLEET_TAKEN_OVER,
+                    "term",
+                    gained.term(),
+                    "note-of-term",
+                    note.term(),
+                    "handed-back",
+                    handedOver,
+                    "ordered-lately",
+                    orderedByFormer.size());
+        } catch (FormatException e) {
+            runtime.log().log(Event.RECORD_UNREADABLE, "key", entry.key(), "cause", e);
+        }
+    }
+
+    /** Returns what the next holder should know when this one hands the duty back. */
+    Optional<byte[]> noteForNext() {
+        boolean settled = !waves.hasOpenOrders() && !mover.hasOpenOrders();
+        return tenure.map(t -> note(t, settled).encode());
+    }
+
+    private FleetNote note(Tenure held, boolean handedBack) {
+        long now = runtime.clock().nanoTime();
+        orderedNanos.values().removeIf(at -> now - at > turn().toNanos());
+        return new FleetNote(
+                held.term(),
+                handedBack,
+                orderedNanos.keySet(),
+                runtime.clock().now(),
+                forecast.memory(seconds()));
+    }
+
+    /** Stores what was learned, for the case that this daemon fails. */
+    private void storeNote() {
+        Tenure held = tenure.orElseThrow();
+        StoreTransaction change =
+                StoreTransaction.builder()
+                        .expect(held.key(), held.token())
+                        .put(StoreKeys.FLEET_NOTE, note(held, false).encode())
+                        .build();
+        runtime.store()
+                .commit(change)
+                .emitOn(runtime.loop())
+                .subscribe()
+                .with(
+                        r -> isConfirmedBy(held, r),
+                        f ->
+                                runtime.log().log(
+                                        Event.STORE_FAILED,
+                                        "call",
+                                        "note for the next holder",
+                                        "cause",
+                                        f.getMessage()));
+    }
+
     void lose() {
         tenure = Optional.empty();
         evacuating = Set.of();
@@ -103,9 +178,11 @@
     }
 
     void onPoolStatus(PoolStatusMessage status) {
-        pools.put(
-                new ServiceId(status.getService()),
-                new PoolStatus(status, runtime.clock().nanoTime()));
+        ServiceId pool = new ServiceId(status.getService());
+        pools.put(pool, new PoolStatus(status, runtime.clock().nanoTime()));
+        if (status.getWorkersList().stream().anyMatch(WorkerStatusMessage::getEvacuating)) {
+            toldPools.add(pool);
+        }
     }
 
     void tick() {
@@ -113,9 +190,15 @@
             return;
         }
         double now = seconds();
-        pools.forEach((pool, status) -> observe(pool, status, now));
+        boolean learned = false;
+        for (Map.Entry<ServiceId, PoolStatus> entry : pools.entrySet()) {
+            learned |= observe(entry.getKey(), entry.getValue(), now);
+        }
+        if (learned) {
+            storeNote();
+        }
         look();
-        if (hosts.isEmpty()) {
+        if (hosts.isEmpty() || !isTurnOver()) {
             return;
         }
         Map<HostId, HostView> views = views();
@@ -129,11 +212,28 @@
         carryOut(orders);
     }
 
-    private void observe(ServiceId pool, PoolStatus status, double now) {
-        if (!status.observed) {
-            status.observed = true;
-            forecast.observe(pool, now, status.message.getOfferedMilliCores() / MILLI);
+    /** Returns whether a surge has started. */
+    private boolean observe(ServiceId pool, PoolStatus status, double now) {
+        if (status.observed) {
+            return false;
+        }
+        status.observed = true;
+        double offered = status.message.getOfferedMilliCores() / MILLI;
+        if (!forecast.observe(pool, now, offered)) {
+            return false;
         }
+        Optional<TurnForecast.Next> next = forecast.next(now);
+        runtime.log().log(
+                Event.SURGE_STARTED,
+                "pool",
+                pool,
+                "offered-cores",
+                Math.round(offered),
+                "next",
+                next.map(n -> n.pool().value()).orElse("unknown"),
+                "in-ms",
+                next.map(n -> Math.round(n.inSeconds() * MILLI)).orElse(0L));
+        return true;
     }
 
     private Map<ServiceId, PoolNeed> needs() {
@@ -213,7 +313,7 @@
                             host.host(),
                             host.pool(),
                             host.worker(),
-                            host.state(),
+                            state(host),
                             rack,
                             host.capacity().milliCores(),
                             standbyPools.contains(host.pool()),
@@ -225,8 +325,16 @@
         return views;
     }
 
+    /** A host that the last holder has ordered about lately is left alone for a while. */
+    private State state(PooledHost host) {
+        boolean resting =
+                host.state() == State.UP && orderedByFormer.contains(host.host()) && !isTurnPast();
+        return resting ? State.MOVING : host.state();
+    }
+
     // What the owners are asked.
 
+    /** Tells each owner which workers to empty; also those that a former holder wanted emptied. */
     private void tellEvacuations(Set<HostId> wanted) {
         long now = runtime.clock().nanoTime();
         boolean due = now - toldNanos >= REPEAT_MILLIS * NANOS_PER_MILLI;
@@ -247,14 +355,13 @@
             }
         }
         messages.values().forEach(m -> evacuations.accept(m.build()));
-        Set<ServiceId> open = new HashSet<>();
+        toldPools.clear();
         messages.forEach(
                 (pool, m) -> {
                     if (m.getWorkersCount() > 0) {
-                        open.add(pool);
+                        toldPools.add(pool);
                     }
                 });
-        toldPools = open;
     }
 
     private EvacuationMessage.Builder message(ServiceId pool) {
@@ -265,7 +372,7 @@
 
     /** Carries orders out once the store has confirmed that the duty is still held. */
     private void carryOut(List<Runnable> orders) {
-        if (orders.isEmpty() || checking || !isTurnOver()) {
+        if (orders.isEmpty() || checking) {
             return;
         }
         Tenure held = tenure.orElseThrow();
@@ -295,12 +402,21 @@
                         });
     }
 
+    /**
+     * Returns whether the last holder orders no host about any more. One that has handed the duty
+     * back does not; else its lease and the platform's turn must have passed.
+     */
     private boolean isTurnOver() {
-        if (tenure.orElseThrow().term() == 1) {
-            return true;
-        }
-        Duration turn = runtime.limits().orderTurn().plus(FORMER_LEASE);
-        return runtime.clock().nanoTime() - gainedNanos > turn.toNanos();
+        return tenure.orElseThrow().term() == 1 || handedOver || isTurnPast();
+    }
+
+    private boolean isTurnPast() {
+        return runtime.clock().nanoTime() - gainedNanos > turn().toNanos();
+    }
+
+    /** Returns the time that must lie between the orders of two holders for one host. */
+    private Duration turn() {
+        return runtime.limits().orderTurn().plus(FORMER_LEASE);
     }
 
     @Override
@@ -314,7 +430,8 @@
     }
 
     @Override
-    public Right right() {
+    public Right orderFor(HostId host) {
+        orderedNanos.put(host, runtime.clock().nanoTime());
         return new Right(self.value(), tenure.orElseThrow().token());
     }
 
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetNote.java
@@ -0,0 +1,112 @@
+package org.crocusgrade.daemon.batch;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.crocusgrade.core.fleet.plan.TurnMemory;
+import org.crocusgrade.core.id.HostId;
+import org.crocusgrade.core.id.ServiceId;
+import org.crocusgrade.core.port.FormatException;
+import org.crocusgrade.peer.proto.StoredFleet;
+import org.crocusgrade.peer.proto.StoredSurge;
+
+/**
+ * What a holder of the fleet's duty leaves for the next one.
+ *
+ * @param term the term of the holder that wrote it
+ * @param handedBack whether that holder gave the duty back with no order open
+ * @param orderedHosts hosts that it ordered about shortly before that
+ * @param written when it was written, by the writer's clock
+ * @param turns what it had learned of the pools' surges
+ */
+record FleetNote(
+        long term,
+        boolean handedBack,
+        Set<HostId> orderedHosts,
+        Instant written,
+        TurnMemory turns) {
+    /** Copies the set. */
+    FleetNote {
+        orderedHosts = Set.copyOf(orderedHosts);
+    }
+
+    byte[] encode() {
+        StoredFleet.Builder stored =
+                StoredFleet.newBuilder()
+                        .setTerm(term)
+                        .setHandedBack(handedBack)
+                        .setWrittenEpochMs(written.toEpochMilli())
+                        .addAllLagSeconds(turns.lags())
+                        .setLatestPool(turns.latest().map(ServiceId::value).orElse(""));
+        orderedHosts.forEach(h -> stored.addOrderedHosts(h.value()));
+        for (TurnMemory.PoolMemory pool : turns.pools()) {
+            stored.addSurges(
+                    StoredSurge.newBuilder()
+                            .setPool(pool.pool().value())
+                            .setLow(pool.low())
+                            .setHigh(pool.high())
+                            .setPeak(pool.peak())
+                            .setSinceStart(pool.sinceStart())
+                            .setSurging(pool.surging())
+                            .setFollower(pool.follower().map(ServiceId::value).orElse("")));
+        }
+        return stored.build().toByteArray();
+    }
+
+    static FleetNote decode(byte[] bytes) throws FormatException {
+        try {
+            StoredFleet stored = StoredFleet.parseFrom(bytes);
+            Set<HostId> hosts = new HashSet<>();
+            stored.getOrderedHostsList().forEach(h -> hosts.add(new HostId(h)));
+            List<TurnMemory.PoolMemory> pools = new ArrayList<>();
+            for (StoredSurge surge : stored.getSurgesList()) {
+                pools.add(
+                        new TurnMemory.PoolMemory(
+                                new ServiceId(surge.getPool()),
+                                surge.getLow(),
+                                surge.getHigh(),
+                                surge.getPeak(),
+                                surge.getSinceStart(),
+                                surge.getSurging(),
+                                service(surge.getFollower())));
+            }
+            return new FleetNote(
+                    stored.getTerm(),
+                    stored.getHandedBack(),
+                    hosts,
+                    Instant.ofEpochMilli(stored.getWrittenEpochMs()),
+                    new TurnMemory(
+                            stored.getLagSecondsList(), service(stored.getLatestPool()), pools));
+        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+            throw new FormatException("note of a holder of the fleet's duty", e);
+        }
+    }
+
+    /** Returns what was learned, as old as it is now; the clocks of two daemons may differ. */
+    TurnMemory turnsAt(Instant now) {
+        Duration age = Duration.between(written, now);
+        double seconds = age.isNegative() ? 0 : age.toMillis() / 1000.0;
+        List<TurnMemory.PoolMemory> pools = new ArrayList<>();
+        for (TurnMemory.PoolMemory pool : turns.pools()) {
+            pools.add(
+                    new TurnMemory.PoolMemory(
+                            pool.pool(),
+                            pool.low(),
+                            pool.high(),
+                            pool.peak(),
+                            pool.sinceStart() + seconds,
+                            pool.surging(),
+                            pool.follower()));
+        }
+        return new TurnMemory(turns.lags(), turns.latest(), pools);
+    }
+
+    private static Optional<ServiceId> service(String name) {
+        return name.isEmpty() ? Optional.empty() : Optional.of(new ServiceId(name));
+    }
+}
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetRight.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetRight.java
@@ -1,6 +1,7 @@
 package org.crocusgrade.daemon.batch;
 
 import java.util.Optional;
+import org.crocusgrade.core.id.HostId;
 import org.crocusgrade.core.port.CommitResult;
 import org.crocusgrade.core.port.HostControl.Right;
 
@@ -9,8 +10,8 @@
     /** Returns the tenure, while the duty is held. */
     Optional<Tenure> tenure();
 
-    /** Returns by what right hosts are ordered about. */
-    Right right();
+    /** Returns by what right a host is ordered about, and takes note that it is. */
+    Right orderFor(HostId host);
 
     /** Makes the next look at the hosts come at once. */
     void lookAgain();
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/HostMover.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/HostMover.java
@@ -43,6 +43,10 @@
         ordering.clear();
     }
 
+    boolean hasOpenOrders() {
+        return !ordering.isEmpty();
+    }
+
     /** Adds the hosts to empty and the orders to give; leaves those that are being emptied. */
     void decide(
             double now,
@@ -111,7 +115,7 @@
             return;
         }
         runtime.hosts()
-                .move(host.host(), to, right.right())
+                .move(host.host(), to, right.orderFor(host.host()))
                 .emitOn(runtime.loop())
                 .subscribe()
                 .with(
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/StoreKeys.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/StoreKeys.java
@@ -12,6 +12,10 @@
     static final String HOLDERS = COORDINATION + "holder/";
     static final String TERMS = COORDINATION + "term/";
     static final String WAVES = COORDINATION + "wave/";
+
+    /** What the last holder of the fleet's duty has left. */
+    static final String FLEET_NOTE = COORDINATION + "fleet";
+
     static final String PEER_KEY = "peer-key";
     static final String SUBMISSIONS = "sub/";
     static final String PROGRESS = "prog/";
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WaveRunner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WaveRunner.java
@@ -46,6 +46,10 @@
         }
     }
 
+    boolean hasOpenOrders() {
+        return !ordering.isEmpty();
+    }
+
     boolean isBusy() {
         return waves.values().stream().anyMatch(w -> !w.closed);
     }
@@ -123,7 +127,7 @@
         }
         int number = wave.request.wave();
         runtime.hosts()
-                .maintain(host, number, right.right())
+                .maintain(host, number, right.orderFor(host))
                 .emitOn(runtime.loop())
                 .subscribe()
                 .with(
--- a/daemon/src/main/java/org/crocusgrade/daemon/log/Event.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/log/Event.java
@@ -57,6 +57,10 @@
     WORKER_SILENT(312, Level.WARNING),
     /** The leases of a silent worker's runs have run out. */
     WORKER_LAPSED(313, Level.WARNING),
+    /** The fleet's duty was taken over with a note of its last holder. */
+    FLEET_TAKEN_OVER(324, Level.INFO),
+    /** A pool's queue began to ask for much more than usual. */
+    SURGE_STARTED(325, Level.INFO),
     /** A host was moved to another pool. */
     HOST_MOVED(320, Level.INFO),
     /** A host's maintenance has begun. */
--- /dev/null
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FleetHandOverTest.java
@@ -0,0 +1,131 @@
+package org.crocusgrade.daemon.batch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.crocusgrade.core.id.DaemonId;
+import org.crocusgrade.daemon.batch.SimHosts.HostOrder;
+import org.crocusgrade.peer.proto.EvacuationMessage;
+import org.crocusgrade.peer.proto.WorkerStatusMessage;
+import org.junit.jupiter.api.Test;
+
+/** A wave of maintenance goes on while the holder of the fleet's duty changes. */
+class FleetHandOverTest {
+    private final SimFleet fleet = new SimFleet(1);
+
+    @Test
+    void aWaveIsCarriedOutWithoutBreakingWork() {
+        fleet.askForWave(1);
+        for (int i = 0; i < 40; i++) {
+            fleet.submit(3);
+            fleet.time.run(1000);
+        }
+        assertThat(fleet.hosts.maintained(), hasSize(fleet.workers.size()));
+        assertThat(fleet.unfinished(), empty());
+        assertThat(fleet.checks.breaches(), empty());
+    }
+
+    @Test
+    void theNextHolderGoesOnAtOnceWhenTheDutyWasHandedBack() {
+        HostOrder last = orderBefore(d -> d.loop.execute(d.node::leave));
+        HostOrder next = firstOrderAfter(last);
+        assertThat(next.millis() - last.millis(), lessThan(3000L + 500));
+        assertThat("another host than the last", next.host(), is(not(last.host())));
+        assertThat(fleet.checks.breaches(), empty());
+    }
+
+    @Test
+    void theNextHolderWaitsForTheTurnOfOneThatFailed() {
+        HostOrder last = orderBefore(d -> fleet.kill(d.name));
+        HostOrder next = firstOrderAfter(last);
+        assertThat(next.millis() - last.millis(), greaterThanOrEqualTo(3500L));
+        assertThat(fleet.checks.breaches(), empty());
+    }
+
+    @Test
+    void theNextHolderLeavesHostsAloneThatWereOrderedAboutLately() {
+        fleet.hosts.setRefusing(true);
+        HostOrder last = orderBefore(d -> d.loop.execute(d.node::leave));
+        fleet.time.run(1500);
+        fleet.hosts.setRefusing(false);
+        HostOrder next = firstOrderAfter(last);
+        assertThat(next.millis() - last.millis(), lessThan(3000L));
+        assertThat("another host than the last", next.host(), is(not(last.host())));
+        fleet.time.run(20_000);
+        assertThat(fleet.hosts.maintained(), hasSize(fleet.workers.size()));
+        assertThat(fleet.checks.breaches(), empty());
+    }
+
+    @Test
+    void workersThatNobodyWantsEmptiedAnyMoreTakeWorkAgain() {
+        EvacuationMessage stale =
+                EvacuationMessage.newBuilder()
+                        .setService(SimFleet.SERVICE.value())
+                        .addWorkers("w1")
+                        .build();
+        SimFleet.Daemon owner = fleet.holder();
+        owner.loop.execute(() -> owner.node.onEvacuation(stale));
+        fleet.time.run(50);
+        assertThat(evacuating(owner), is(1L));
+        fleet.time.run(1000);
+        assertThat(evacuating(owner), is(0L));
+    }
+
+    private static long evacuating(SimFleet.Daemon owner) {
+        return owner.node.poolStatus(SimFleet.SERVICE).stream()
+                .filter(WorkerStatusMessage::getEvacuating)
+                .count();
+    }
+
+    @Test
+    void handOversInSeriesBreakNoRule() {
+        fleet.askForWave(1);
+        for (int i = 0; i < 12; i++) {
+            fleet.submit(3);
+            fleet.time.run(1700);
+            SimFleet.Daemon holder = fleet.holder(Duty.FLEET);
+            DaemonId name = holder.name;
+            holder.loop.execute(holder.node::leave);
+            fleet.time.run(300);
+            fleet.kill(name);
+            fleet.boot(name);
+        }
+        fleet.time.run(30_000);
+        assertThat(fleet.hosts.maintained(), hasSize(fleet.workers.size()));
+        assertThat(fleet.unfinished(), empty());
+        assertThat(fleet.checks.breaches(), empty());
+    }
+
+    /** Runs until the first host is ordered about, then ends its holder in some way. */
+    private HostOrder orderBefore(Consumer<SimFleet.Daemon> end) {
+        fleet.askForWave(1);
+        while (fleet.hosts.orders().isEmpty()) {
+            fleet.time.run(10);
+            assertThat(fleet.time.millis(), lessThan(30_000L));
+        }
+        fleet.time.run(100);
+        end.accept(fleet.holder(Duty.FLEET));
+        return fleet.hosts.orders().get(0);
+    }
+
+    private HostOrder firstOrderAfter(HostOrder last) {
+        for (int i = 0; i < 4000; i++) {
+            fleet.time.run(10);
+            List<HostOrder> orders = fleet.hosts.orders();
+            HostOrder newest = orders.get(orders.size() - 1);
+            if (newest.token() != last.token()) {
+                assertThat(newest.token(), greaterThan(last.token()));
+                return newest;
+            }
+        }
+        throw new AssertionError("no other holder ordered anything");
+    }
+}
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimChecks.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimChecks.java
@@ -67,7 +67,7 @@
         return breaches;
     }
 
-    private void breach(String what) {
+    void breach(String what) {
         breaches.add(time.millis() + " ms: " + what);
     }
 }
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
@@ -4,7 +4,6 @@
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 
 import com.google.common.flogger.FluentLogger;
-import io.smallrye.mutiny.Uni;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -19,11 +18,9 @@
 import java.util.function.Consumer;
 import org.crocusgrade.core.id.BootId;
 import org.crocusgrade.core.id.DaemonId;
-import org.crocusgrade.core.id.HostId;
 import org.crocusgrade.core.id.QueueId;
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.core.id.WorkerId;
-import org.crocusgrade.core.port.HostControl;
 import org.crocusgrade.core.submission.Resources;
 import org.crocusgrade.core.submission.SubmissionId;
 import org.crocusgrade.core.submission.SubmissionState;
@@ -53,6 +50,7 @@
     final SimChecks checks = new SimChecks(time);
     final Map<WorkerId, SimWorker> workers = new LinkedHashMap<>();
     final Map<DaemonId, Daemon> daemons = new LinkedHashMap<>();
+    final SimHosts hosts = new SimHosts(time, checks, workers, this::register);
     final Map<SubmissionId, SubmissionState> accepted = new LinkedHashMap<>();
     private int boots;
     private int submissions;
@@ -92,6 +90,14 @@
         store.write("servers/" + worker.id, born);
     }
 
+    /** The operators ask for the maintenance of all hosts. */
+    void askForWave(int number) {
+        List<String> names = new ArrayList<>();
+        workers.keySet().forEach(w -> names.add(SimHosts.hostOf(w).value()));
+        byte[] wave = String.join(",", names).getBytes(StandardCharsets.UTF_8);
+        store.write(SimFormat.WAVE_PREFIX + number, wave);
+    }
+
     /** Starts a daemon, or starts it again after its process was killed. */
     Daemon boot(DaemonId name) {
         Daemon daemon = new Daemon(name, new BootId("boot" + ++boots));
@@ -106,9 +112,12 @@
     }
 
     Daemon holder() {
+        return holder(Duty.pool(SERVICE));
+    }
+
+    Daemon holder(Duty duty) {
         for (Daemon daemon : daemons.values()) {
-            Optional<DaemonId> holder =
-                    daemon.node.holder(Duty.pool(SERVICE)).filter(daemons::containsKey);
+            Optional<DaemonId> holder = daemon.node.holder(duty).filter(daemons::containsKey);
             if (!daemon.dead && holder.isPresent()) {
                 return daemons.get(holder.get());
             }
@@ -208,7 +217,7 @@
                     new Runtime(
                             client,
                             orders,
-                            new Hosts(),
+                            hosts,
                             new SimAdvice(time, workers),
                             new SimFormat(advised),
                             time,
@@ -304,33 +313,4 @@
             // Nothing to close.
         }
     }
-
-    private final class Hosts implements HostControl {
-        @Override
-        public Uni<List<PooledHost>> hosts() {
-            List<PooledHost> hosts = new ArrayList<>();
-            for (SimWorker worker : workers.values()) {
-                hosts.add(
-                        new PooledHost(
-                                new HostId("h-" + worker.id),
-                                SERVICE,
-                                worker.isDown() ? State.DOWN : State.UP,
-                                "zone",
-                                List.of("a", "r1"),
-                                CAPACITY,
-                                Optional.of(worker.id)));
-            }
-            return Uni.createFrom().item(hosts);
-        }
-
-        @Override
-        public Uni<Outcome> move(HostId host, ServiceId pool, Right right) {
-            return Uni.createFrom().item(Outcome.BUSY);
-        }
-
-        @Override
-        public Uni<Outcome> maintain(HostId host, int wave, Right right) {
-            return Uni.createFrom().item(Outcome.BUSY);
-        }
-    }
 }
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFormat.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFormat.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -9,6 +10,7 @@
 import org.crocusgrade.core.config.QueueRoute;
 import org.crocusgrade.core.config.QueueRoute.AdvicePolicy;
 import org.crocusgrade.core.config.QueueTable;
+import org.crocusgrade.core.id.HostId;
 import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.maintenance.WaveRequest;
 import org.crocusgrade.core.port.FormatException;
@@ -24,6 +26,13 @@
     private static final AdvicePolicy ADVICE =
             new AdvicePolicy(SimAdvice.DECIDE, SimAdvice.PER_WORKER, SimAdvice.VALIDITY);
 
+    /** Most hosts in maintenance at a time. */
+    static final int WAVE_AT_ONCE = 1;
+
+    static final String WAVE_PREFIX = "op/wave/";
+
+    private static final Duration WAVE_TIME = Duration.ofSeconds(60);
+
     private final boolean advised;
 
     SimFormat(boolean advised) {
@@ -81,12 +90,17 @@
 
     @Override
     public boolean isWave(String key) {
-        return false;
+        return key.startsWith(WAVE_PREFIX);
     }
 
     @Override
-    public WaveRequest wave(StoreEntry entry) throws FormatException {
-        throw new FormatException("no waves here");
+    public WaveRequest wave(StoreEntry entry) {
+        List<HostId> hosts = new ArrayList<>();
+        for (String name : entry.text().split(",")) {
+            hosts.add(new HostId(name));
+        }
+        int number = Integer.parseInt(entry.key().substring(WAVE_PREFIX.length()));
+        return new WaveRequest(number, hosts, WAVE_TIME, WAVE_AT_ONCE);
     }
 
     @Override
--- /dev/null
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimHosts.java
@@ -0,0 +1,145 @@
+package org.crocusgrade.daemon.batch;
+
+import io.smallrye.mutiny.Uni;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.crocusgrade.core.id.HostId;
+import org.crocusgrade.core.id.ServiceId;
+import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.port.HostControl;
+
+/** The hosts of the simulated workers, which can be maintained; orders are kept and checked. */
+final class SimHosts implements HostControl {
+    private static final long MAINTENANCE_MILLIS = 2000;
+    private static final long ANSWER_MILLIS = 5;
+
+    /** The time that must lie between the orders of two holders for one host. */
+    private static final long TURN_MILLIS = 3000;
+
+    private final SimTime time;
+    private final SimChecks checks;
+    private final Map<WorkerId, SimWorker> workers;
+    private final Consumer<SimWorker> onBegun;
+    private final List<HostOrder> orders = new ArrayList<>();
+    private final Map<HostId, HostOrder> latest = new HashMap<>();
+    private final Set<HostId> away = new HashSet<>();
+    private final Set<HostId> maintained = new HashSet<>();
+    private boolean refusing;
+
+    SimHosts(
+            SimTime time,
+            SimChecks checks,
+            Map<WorkerId, SimWorker> workers,
+            Consumer<SimWorker> onBegun) {
+        this.time = time;
+        this.checks = checks;
+        this.workers = workers;
+        this.onBegun = onBegun;
+    }
+
+    static HostId hostOf(WorkerId worker) {
+        return new HostId("h-" + worker);
+    }
+
+    /** Sets whether orders are refused because the host is busy. */
+    void setRefusing(boolean now) {
+        refusing = now;
+    }
+
+    List<HostOrder> orders() {
+        return orders;
+    }
+
+    Set<HostId> maintained() {
+        return maintained;
+    }
+
+    @Override
+    public Uni<List<PooledHost>> hosts() {
+        List<PooledHost> hosts = new ArrayList<>();
+        for (SimWorker worker : workers.values()) {
+            HostId host = hostOf(worker.id);
+            State state = worker.isDown() ? State.DOWN : State.UP;
+            hosts.add(
+                    new PooledHost(
+                            host,
+                            SimFleet.SERVICE,
+                            away.contains(host) ? State.MAINTENANCE : state,
+                            "zone",
+                            List.of("a", "r1"),
+                            SimFleet.CAPACITY,
+                            Optional.of(worker.id)));
+        }
+        return Uni.createFrom().item(hosts);
+    }
+
+    @Override
+    public Uni<Outcome> move(HostId host, ServiceId pool, Right right) {
+        return Uni.createFrom().item(Outcome.BUSY);
+    }
+
+    @Override
+    public Uni<Outcome> maintain(HostId host, int wave, Right right) {
+        return Uni.createFrom()
+                .emitter(
+                        e ->
+                                time.afterMillis(
+                                        ANSWER_MILLIS, () -> e.complete(carryOut(host, right))));
+    }
+
+    private Outcome carryOut(HostId host, Right right) {
+        HostOrder order = new HostOrder(time.millis(), host, right.token());
+        HostOrder before = latest.put(host, order);
+        orders.add(order);
+        if (before != null
+                && before.token != order.token
+                && order.millis - before.millis < TURN_MILLIS) {
+            checks.breach("two holders order " + host + " about within their turn");
+        }
+        if (maintained.contains(host)) {
+            return Outcome.DONE;
+        }
+        if (refusing) {
+            return Outcome.BUSY;
+        }
+        SimWorker worker =
+                workers.values().stream()
+                        .filter(w -> hostOf(w.id).equals(host))
+                        .findFirst()
+                        .orElseThrow();
+        if (worker.isDown()) {
+            return Outcome.BUSY;
+        }
+        if (!worker.report().running().isEmpty()) {
+            checks.breach("maintenance of " + host + " ends tasks");
+        }
+        away.add(host);
+        maintained.add(host);
+        if (away.size() > SimFormat.WAVE_AT_ONCE) {
+            checks.breach(away.size() + " hosts are away for a wave");
+        }
+        worker.crash();
+        time.afterMillis(
+                MAINTENANCE_MILLIS,
+                () -> {
+                    away.remove(host);
+                    worker.begin();
+                    onBegun.accept(worker);
+                });
+        return Outcome.DONE;
+    }
+
+    /**
+     * An order that was carried out.
+     *
+     * @param millis when
+     * @param token by what right
+     */
+    record HostOrder(long millis, HostId host, long token) {}
+}
