--- a/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
@@ -36,6 +36,7 @@
     private long lastEnd;
     private long ackCursor;
     private long quarantinedUntilNanos = Long.MIN_VALUE;
+    private long slowUntilNanos = Long.MIN_VALUE;
     private final Set<SubmissionId> failedSubmissions = new HashSet<>();
     private int longRunning;
 
@@ -195,7 +196,16 @@
     }
 
     boolean isQuarantined(long now) {
-        return quarantinedUntilNanos != Long.MIN_VALUE && now - quarantinedUntilNanos < 0;
+        return isBefore(now, quarantinedUntilNanos) || isBefore(now, slowUntilNanos);
+    }
+
+    private static boolean isBefore(long now, long until) {
+        return until != Long.MIN_VALUE && now - until < 0;
+    }
+
+    /** Says that runs here are slow; ends that are reported do not prove the contrary. */
+    void setSlowUntil(long nanos) {
+        slowUntilNanos = nanos;
     }
 
     void quarantineUntil(long nanos) {
