Tell surges from single large submissions; refuse at once what cannot reach its owner

A daemon whose probes to an owner have no answer refuses submissions for it before anything is sent, and goes on probing; a probe tells that the one before was lost, so that the peer looks at its own link. Figures: the play now also has submissions that come by chance and are large. The test of silent links failed on the way: a daemon that no longer calls a peer must not stop its peer from replacing a silent link.

--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/DemandLearner.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/DemandLearner.java
@@ -26,6 +26,9 @@
  */
 final class DemandLearner {
     /** Lags that must have been seen before one is relied on. */
+    /** Least range of a pool's demand that counts as a surge, in slots. */
+    private static final double MIN_RANGE_SLOTS = 6;
+
     private static final int MIN_SEEN = 2;
 
     /** Largest spread that is relied on, as part of the time forecast. */
@@ -63,7 +66,8 @@
                 continue;
             }
             DemandDigest digest = p.demand().get();
-            SurgeHistory history = histories.computeIfAbsent(p.pool(), id -> new SurgeHistory());
+            SurgeHistory history =
+                    histories.computeIfAbsent(p.pool(), id -> new SurgeHistory(MIN_RANGE_SLOTS));
             if (history.observe(seconds(digest.at()), digest.offeredByAll())) {
                 started(p.pool(), history.start());
             }
--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/SurgeHistory.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/SurgeHistory.java
@@ -19,9 +19,6 @@
     /** Part of the range below which a surge ends. */
     private static final double END_PART = 0.4;
 
-    /** Least range that counts as a surge, in slots. */
-    private static final double MIN_RANGE_SLOTS = 6;
-
     /** Least range that counts as a surge, as a multiple of the low end. */
     private static final double MIN_RANGE_FACTOR = 1.5;
 
@@ -31,6 +28,7 @@
     /** Weight of a new value in the two levels. */
     private static final double LEVEL_WEIGHT = 0.3;
 
+    private final double minRange;
     private final RecentValues periods = new RecentValues();
     private final RecentValues durations = new RecentValues();
     private final RecentValues peaks = new RecentValues();
@@ -45,10 +43,18 @@
     private boolean surging;
     private boolean startKnown;
 
-    SurgeHistory() {}
+    /**
+     * Makes a history without any demand.
+     *
+     * @param minRange least range that counts as a surge, in the demand's unit
+     */
+    SurgeHistory(double minRange) {
+        this.minRange = minRange;
+    }
 
     /** Goes on from what another has learned; it may have been a while ago. */
-    SurgeHistory(TurnMemory.PoolMemory memory, double now) {
+    SurgeHistory(double minRange, TurnMemory.PoolMemory memory, double now) {
+        this.minRange = minRange;
         low = memory.low();
         high = memory.high();
         quiet = low;
@@ -109,9 +115,7 @@
 
     private boolean surgeLevel(double level, double part) {
         double range = high - low;
-        return range >= MIN_RANGE_SLOTS
-                && range >= low * MIN_RANGE_FACTOR
-                && level > low + range * part;
+        return range >= minRange && range >= low * MIN_RANGE_FACTOR && level > low + range * part;
     }
 
     private void begin(double at, double time, double level) {
--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/TurnForecast.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/TurnForecast.java
@@ -20,6 +20,15 @@
     /** A start that has not come this long after its time is given up, in seconds. */
     private static final double OVERDUE_SECONDS = 1.5;
 
+    /** Submissions in the window with which a surge may start: a single one may just be large. */
+    private static final int FEWEST_AT_START = 2;
+
+    /** Submissions in the window without which a surge is over. */
+    private static final int FEWEST_IN_SURGE = 1;
+
+    /** A surge is of at least so many cores, a few hosts' worth: less needs no host to move. */
+    private static final double LEAST_CORES = 40;
+
     private final Map<ServiceId, SurgeHistory> pools = new HashMap<>();
     private final Map<ServiceId, ServiceId> followers = new HashMap<>();
     private RecentValues lags = new RecentValues();
@@ -31,11 +40,13 @@
      *
      * @param at the time, in seconds from any origin
      * @param cores the work that arrives, in core-seconds a second
+     * @param submissions how many submissions it came with
      * @return whether a surge of the pool has started
      */
-    public boolean observe(ServiceId pool, double at, double cores) {
-        SurgeHistory history = pools.computeIfAbsent(pool, p -> new SurgeHistory());
-        if (!history.observe(at, cores)) {
+    public boolean observe(ServiceId pool, double at, double cores, int submissions) {
+        SurgeHistory history = pools.computeIfAbsent(pool, p -> new SurgeHistory(LEAST_CORES));
+        boolean few = submissions < (history.surging() ? FEWEST_IN_SURGE : FEWEST_AT_START);
+        if (!history.observe(at, few ? 0 : cores)) {
             return false;
         }
         double start = history.start();
@@ -70,7 +81,7 @@
         latest = Optional.empty();
         latestStart = Double.NaN;
         for (TurnMemory.PoolMemory known : memory.pools()) {
-            pools.put(known.pool(), new SurgeHistory(known, now));
+            pools.put(known.pool(), new SurgeHistory(LEAST_CORES, known, now));
             known.follower().ifPresent(f -> followers.put(known.pool(), f));
             if (memory.latest().equals(Optional.of(known.pool()))) {
                 latest = memory.latest();
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -268,6 +268,11 @@
         return arrivals.milliCores(now);
     }
 
+    /** Returns how many submissions have arrived lately. */
+    public int offeredSubmissions(long now) {
+        return arrivals.submissions(now);
+    }
+
     /** Returns the processors that long-running tasks take, in thousandths of a core. */
     public long longRunningMilliCores() {
         return reservedMilliCores(true);
--- a/core/src/test/java/org/crocusgrade/core/fleet/plan/TurnForecastTest.java
+++ b/core/src/test/java/org/crocusgrade/core/fleet/plan/TurnForecastTest.java
@@ -61,9 +61,9 @@
         assertThat(next.peak(POOLS.get(2)), closeTo(forecast.peak(POOLS.get(2)), 1));
         assertThat(
                 "no second start in the same surge",
-                next.observe(POOLS.get(1), now, 400),
+                next.observe(POOLS.get(1), now, 400, 40),
                 is(false));
-        assertThat(next.observe(POOLS.get(2), now + TURN, 400), is(true));
+        assertThat(next.observe(POOLS.get(2), now + TURN, 400, 40), is(true));
         assertThat(next.next(now + TURN).orElseThrow().pool(), is(POOLS.get(3)));
     }
 
@@ -74,16 +74,34 @@
         assertThat(next.next(5), is(Optional.empty()));
     }
 
+    @Test
+    void aSingleLargeSubmissionIsNoSurge() {
+        forecast.observe(POOLS.get(0), 0, 0, 0);
+        for (int i = 1; i < 20; i++) {
+            assertThat(forecast.observe(POOLS.get(0), i * 0.1, 300, 1), is(false));
+        }
+        assertThat(forecast.isSurging(POOLS.get(0)), is(false));
+    }
+
+    @Test
+    void aFewSmallSubmissionsAreNoSurge() {
+        forecast.observe(POOLS.get(0), 0, 0, 0);
+        for (int i = 1; i < 20; i++) {
+            assertThat(forecast.observe(POOLS.get(0), i * 0.1, 15, 5), is(false));
+        }
+    }
+
     private void play(double until) {
         for (double at = -3; at < until; at += 0.1) {
             for (int i = 0; i < POOLS.size(); i++) {
                 double round = at % (TURN * POOLS.size());
                 boolean peak = at >= 0 && round >= i * TURN && round < (i + 1) * TURN;
-                forecast.observe(POOLS.get(i), at, peak ? 400 : 5);
+                forecast.observe(POOLS.get(i), at, peak ? 400 : 5, peak ? 40 : 1);
             }
         }
         for (int i = 0; i < POOLS.size(); i++) {
-            forecast.observe(POOLS.get(i), until, i == turn(until) ? 400 : 5);
+            boolean peak = i == turn(until);
+            forecast.observe(POOLS.get(i), until, peak ? 400 : 5, peak ? 40 : 1);
         }
     }
 
--- a/core/src/test/java/org/crocusgrade/core/fleet/plan/TurnsPlay.java
+++ b/core/src/test/java/org/crocusgrade/core/fleet/plan/TurnsPlay.java
@@ -16,16 +16,16 @@
 import org.crocusgrade.core.port.HostControl.State;
 
 /**
- * Plays pools that surge in turns against a balancer, with work as a fluid: work arrives at a rate
- * and is served in the order of its arrival by the hosts that are there. A host that leaves a pool
- * takes what its tasks still run, and then some time on its way.
+ * Plays pools that surge in turns against a balancer: submissions arrive by chance, and their work
+ * is served like a fluid, in the order of its arrival, by the hosts that are there. A host that
+ * leaves a pool takes what its tasks still run, and then some time on its way.
  */
 final class TurnsPlay {
     private static final double STEP_SECONDS = 0.05;
     private static final double DECIDE_SECONDS = 0.1;
     private static final double MOVE_SECONDS = 1.6;
     private static final double EMPTY_PATIENCE_SECONDS = 3.5;
-    private static final double METER_SECONDS = 0.8;
+    private static final double METER_SECONDS = 1.2;
 
     private final Map<ServiceId, Pool> pools = new LinkedHashMap<>();
     private final List<Host> hosts = new ArrayList<>();
@@ -49,13 +49,21 @@
      *
      * @param hosts its hosts, of which a third has long-running tasks
      * @param mean the cores that its work takes in the mean
+     * @param size the work of a submission in the mean, in core-seconds
      * @param task how long a task runs, in seconds
      * @param patience how old work may be when it is served, in seconds
      * @param turn which of the turns is its own
      */
-    void pool(String name, int hosts, double mean, double task, double patience, int turn) {
+    void pool(
+            String name,
+            int hosts,
+            double mean,
+            double size,
+            double task,
+            double patience,
+            int turn) {
         ServiceId id = new ServiceId(name);
-        pools.put(id, new Pool(id, mean, task, patience, turn));
+        pools.put(id, new Pool(id, mean, size, task, patience, turn));
         for (int i = 0; i < hosts; i++) {
             this.hosts.add(new Host(name + i, id, i % 3 == 0));
         }
@@ -106,7 +114,7 @@
     private void decide() {
         Map<ServiceId, PoolNeed> needs = new HashMap<>();
         for (Pool pool : pools.values()) {
-            forecast.observe(pool.id, now, pool.offered());
+            forecast.observe(pool.id, now, pool.offered(), pool.lately.size());
             needs.put(pool.id, pool.need());
         }
         Map<ServiceId, Integer> incoming = new HashMap<>();
@@ -153,6 +161,7 @@
     private final class Pool {
         private final ServiceId id;
         private final double mean;
+        private final double size;
         private final double task;
         private final double patience;
         private final int turn;
@@ -162,9 +171,10 @@
         private double arrived;
         private double inTime;
 
-        Pool(ServiceId id, double mean, double task, double patience, int turn) {
+        Pool(ServiceId id, double mean, double size, double task, double patience, int turn) {
             this.id = id;
             this.mean = mean;
+            this.size = size;
             this.task = task;
             this.patience = patience;
             this.turn = turn;
@@ -173,13 +183,16 @@
         /** In its turn a pool asks for about four times its mean, else for a twentieth. */
         void arrive(double turnSeconds) {
             boolean surges = (int) (now / turnSeconds) % pools.size() == turn;
-            double rate = mean * (surges ? 4 : 0.05) * (0.6 + 0.8 * random.nextDouble());
-            double work = rate * STEP_SECONDS;
-            queue.add(new double[] {now, work});
-            lately.add(new double[] {now, work});
+            double perStep = mean * (surges ? 4 : 0.05) / size * STEP_SECONDS;
+            while (random.nextDouble() < perStep) {
+                perStep -= 1;
+                double work = size * (0.4 + 1.2 * random.nextDouble());
+                queue.add(new double[] {now, work});
+                lately.add(new double[] {now, work});
+                backlog += work;
+                arrived += work;
+            }
             lately.removeIf(w -> now - w[0] > METER_SECONDS);
-            backlog += work;
-            arrived += work;
         }
 
         double offered() {
--- a/core/src/test/java/org/crocusgrade/core/fleet/plan/TurnsPlayTest.java
+++ b/core/src/test/java/org/crocusgrade/core/fleet/plan/TurnsPlayTest.java
@@ -49,6 +49,18 @@
         assertThat(late(2, SHORT_TURN, true), greaterThan(0.3));
     }
 
+    /** Some queues get few submissions, each of which takes several hosts for a while. */
+    @Test
+    void largeSubmissionsAreNotTakenForSurges() {
+        double moved = 0;
+        double still = 0;
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            moved += 1 - lumpy(seed).play(2, SHORT_TURN).served();
+            still += 1 - lumpy(seed).keepStill().play(2, SHORT_TURN).served();
+        }
+        assertThat("moves halve what is late, at least", moved, lessThan(still / 2));
+    }
+
     private static double late(int rounds, double turn, boolean still) {
         double late = 0;
         for (long seed = 1; seed <= SEEDS; seed++) {
@@ -59,12 +71,21 @@
         return late;
     }
 
+    /** Submissions so small that work arrives almost evenly. */
     private static TurnsPlay play(long seed) {
+        return play(seed, 0.2, 0.2);
+    }
+
+    private static TurnsPlay lumpy(long seed) {
+        return play(seed, 6.8, 84);
+    }
+
+    private static TurnsPlay play(long seed, double small, double large) {
         TurnsPlay play = new TurnsPlay(seed, 16);
-        play.pool("holds", 6, 43, 0.64, 2.4, 0);
-        play.pool("groups", 6, 48, 2.1, 8, 1);
-        play.pool("counter", 8, 53, 0.64, 2.4, 2);
-        play.pool("tours", 9, 59, 2.1, 8, 3);
+        play.pool("holds", 6, 43, small, 0.64, 2.4, 0);
+        play.pool("groups", 6, 48, large, 2.1, 8, 1);
+        play.pool("counter", 8, 53, small, 0.64, 2.4, 2);
+        play.pool("tours", 9, 59, large, 2.1, 8, 3);
         play.standby(6);
         return play;
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetHolder.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetHolder.java
@@ -219,7 +219,8 @@
         }
         status.observed = true;
         double offered = status.message.getOfferedMilliCores() / MILLI;
-        if (!forecast.observe(pool, now, offered)) {
+        int submissions = status.message.getOfferedSubmissions();
+        if (!forecast.observe(pool, now, offered, submissions)) {
             return false;
         }
         Optional<TurnForecast.Next> next = forecast.next(now);
@@ -229,6 +230,8 @@
                 pool,
                 "offered-cores",
                 Math.round(offered),
+                "submissions",
+                submissions,
                 "next",
                 next.map(n -> n.pool().value()).orElse("unknown"),
                 "in-ms",
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/LinkProbes.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/LinkProbes.java
@@ -15,7 +15,9 @@
  * <p>Each daemon sends over a connection of its own, so a probe goes out over one connection and
  * its answer comes back over another. A daemon whose probe has no answer replaces its own
  * connection; if it was the other that fell silent, the peer's probe has no answer either, and the
- * peer replaces that one. Only links in use are probed.
+ * peer replaces that one; a probe says whether the one before was answered, so that the peer looks
+ * at its link even if it sends nothing else. Only links in use are probed, and those without
+ * answers, over which nothing else is sent.
  */
 final class LinkProbes {
     /** The time between probes, and the time that an answer may take. */
@@ -24,6 +26,9 @@
     /** How long after its last use a link is probed. */
     private static final Duration USE = Duration.ofSeconds(4);
 
+    /** How long after its last use a link without answers is probed. */
+    private static final Duration FAILED_USE = Duration.ofSeconds(30);
+
     private final Runtime runtime;
     private final PeerLink link;
     private final Map<DaemonId, Probed> peers = new HashMap<>();
@@ -39,9 +44,20 @@
         peers.computeIfAbsent(peer, p -> new Probed()).usedNanos = runtime.clock().nanoTime();
     }
 
+    /** Returns whether nothing speaks against it that a message reaches a peer. */
+    boolean isReachable(DaemonId peer) {
+        Probed probed = peers.get(peer);
+        return probed == null || !probed.failed;
+    }
+
     void tick() {
         long now = runtime.clock().nanoTime();
-        peers.values().removeIf(p -> now - p.usedNanos > USE.toNanos());
+        peers.values()
+                .removeIf(
+                        p -> {
+                            Duration kept = p.failed ? FAILED_USE : USE;
+                            return now - p.usedNanos > kept.toNanos();
+                        });
         peers.forEach((peer, probed) -> probe(peer, probed, now));
     }
 
@@ -52,21 +68,31 @@
         if (probed.number != 0 && !probed.answered) {
             runtime.log().log(Event.DEPENDENCY_LOST, "dependency", "link", "peer", peer);
             link.reconnect(peer);
+            probed.failed = true;
         }
         probed.number = ++lastNumber;
         probed.sentNanos = now;
         probed.answered = false;
-        send(peer, LinkProbeMessage.newBuilder().setNumber(probed.number).build());
+        send(
+                peer,
+                LinkProbeMessage.newBuilder()
+                        .setNumber(probed.number)
+                        .setUnanswered(probed.failed)
+                        .build());
     }
 
     void onProbe(DaemonId from, LinkProbeMessage message) {
         if (!message.getAnswer()) {
+            if (message.getUnanswered()) {
+                used(from);
+            }
             send(from, message.toBuilder().setAnswer(true).build());
             return;
         }
         Probed probed = peers.get(from);
         if (probed != null && probed.number == message.getNumber()) {
             probed.answered = true;
+            probed.failed = false;
         }
     }
 
@@ -79,5 +105,6 @@
         private long sentNanos;
         private long number;
         private boolean answered;
+        private boolean failed;
     }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PeerCalls.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PeerCalls.java
@@ -90,6 +90,11 @@
                         });
     }
 
+    /** Returns whether nothing speaks against it that a call reaches another daemon. */
+    boolean isReachable(DaemonId peer) {
+        return probes.isReachable(peer);
+    }
+
     /** Calls another daemon; the reply says {@link Outcome#NO_ANSWER} if none comes in time. */
     void call(DaemonId to, SubmissionCall call, Duration timeout, Consumer<SubmissionReply> reply) {
         long number = ++lastCall;
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -138,7 +138,8 @@
                         .setBatchMilliCores(scheduler.batchMilliCores() + waiting)
                         .setLongRunningMilliCores(scheduler.longRunningMilliCores())
                         .setBacklogCoreMillis(Math.round(scheduler.backlogCoreMillis()))
-                        .setOfferedMilliCores(scheduler.offeredMilliCores(now));
+                        .setOfferedMilliCores(scheduler.offeredMilliCores(now))
+                        .setOfferedSubmissions(scheduler.offeredSubmissions(now));
         for (WorkerSession session : poolWorkers.sessions()) {
             if (session.isFenced()) {
                 status.addWorkers(session.status());
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/SubmissionGateway.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/SubmissionGateway.java
@@ -69,6 +69,8 @@
             owner.get().handle(call, next);
         } else if (holder.get().equals(self)) {
             next.accept(SubmissionReply.of(Outcome.NOT_OWNER, "duty just ended"));
+        } else if (!peers.isReachable(holder.get())) {
+            next.accept(SubmissionReply.of(Outcome.UNAVAILABLE, "owner does not answer probes"));
         } else {
             peers.call(holder.get(), call, OWNER_TIMEOUT, next);
         }
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FaultyDaysTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FaultyDaysTest.java
@@ -1,6 +1,7 @@
 package org.crocusgrade.daemon.batch;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
@@ -80,6 +81,32 @@
         assertThat(fleet.accepted.size(), is(before + 10));
     }
 
+    /** A caller's daemon is cut off from the others: nobody waits for an owner out of reach. */
+    @Test
+    void aDaemonThatDoesNotReachTheOwnerRefusesAtOnce() {
+        SimFleet fleet = new SimFleet(1);
+        SimFleet.Daemon cut =
+                fleet.daemons.values().stream()
+                        .filter(d -> d != fleet.holder())
+                        .findFirst()
+                        .orElseThrow();
+        List<SubmissionReply.Outcome> outcomes = new ArrayList<>();
+        cut.cutLinks(true);
+        cut.submit(fleet.nextId(), r -> outcomes.add(r.outcome()));
+        fleet.time.run(2500);
+        assertThat("it may have been taken", outcomes, contains(SubmissionReply.Outcome.NO_ANSWER));
+        outcomes.clear();
+        cut.submit(fleet.nextId(), r -> outcomes.add(r.outcome()));
+        fleet.time.run(20);
+        assertThat(outcomes, contains(SubmissionReply.Outcome.REFUSED));
+        cut.cutLinks(false);
+        fleet.time.run(2500);
+        outcomes.clear();
+        cut.submit(fleet.nextId(), r -> outcomes.add(r.outcome()));
+        fleet.time.run(100);
+        assertThat(outcomes, contains(SubmissionReply.Outcome.DONE));
+    }
+
     @Test
     void aNewOwnerTellsOfNoWorkerThatItHasNotAsked() {
         SimFleet fleet = new SimFleet(1);
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
@@ -125,9 +125,13 @@
         return daemons.values().iterator().next();
     }
 
+    SubmissionId nextId() {
+        return new SubmissionId(String.format("%016x", ++submissions));
+    }
+
     /** Hands a submission of some tasks in at some daemon; callers ask again after silence. */
     SubmissionId submit(int tasks) {
-        SubmissionId id = new SubmissionId(String.format("%016x", ++submissions));
+        SubmissionId id = nextId();
         submit(id, tasks, 0);
         return id;
     }
@@ -210,6 +214,7 @@
         private PeerListener listener;
         private Link link;
         private boolean dead;
+        private boolean linksCut;
 
         Daemon(DaemonId name, BootId boot) {
             this.name = name;
@@ -243,6 +248,16 @@
             link.silent.addAll(daemons.keySet());
         }
 
+        /** Nothing goes to other daemons or comes from them, over new connections neither. */
+        void cutLinks(boolean now) {
+            linksCut = now;
+        }
+
+        void submit(SubmissionId id, Consumer<SubmissionReply> reply) {
+            checks.attempted(id);
+            call(Operation.SUBMIT, id, new byte[] {1}, reply);
+        }
+
         void call(
                 Operation operation,
                 SubmissionId id,
@@ -302,7 +317,9 @@
                     1,
                     () -> {
                         Daemon peer = daemons.get(to);
-                        if (peer != null && !peer.dead && peer.listener != null) {
+                        Daemon own = daemons.get(self);
+                        boolean cut = own.linksCut || peer != null && peer.linksCut;
+                        if (!cut && peer != null && !peer.dead && peer.listener != null) {
                             peer.listener.onMessage(self, boot, message);
                         }
                     });
