Take back the search for slow workers: it stopped sound runs

The runs of one submission are alike and may all be two and a half times the queue's mean; two such submissions on one worker were taken for the worker's fault, and a sound worker was kept idle for 3 s. Higher thresholds were not tried: a prediction for each submission is needed first. Conclusion: a failed try.

--- a/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
@@ -44,7 +44,6 @@
     private final PoolState pool;
     private final RunTimeModel times;
     private final ReportIntake intake;
-    private final SlowWorkers slow;
     private final Placer placer;
     private final Map<RunName, Long> unwantedSent = new HashMap<>();
     private boolean evacuationsHeld;
@@ -54,7 +53,6 @@
         this.pool = pool;
         this.times = times;
         this.intake = intake;
-        slow = new SlowWorkers(pool, times);
         placer = new Placer(pool, pacer);
     }
 
@@ -69,7 +67,6 @@
 
     List<Order> plan(long now) {
         List<Order> orders = new ArrayList<>();
-        slow.look(now);
         unwantedSent.values().removeIf(sent -> now - sent >= RETRY_NANOS);
         for (WorkerNode worker : pool.workers().values()) {
             for (RunName run : intake.unwanted(worker)) {
@@ -113,11 +110,6 @@
             placement.enter(Phase.STOPPING, now);
             return;
         }
-        if (slow.isHeldUp(placement, now)) {
-            placement.enter(Phase.STOPPING, now);
-            task.noteStall();
-            return;
-        }
         if (isStalled(placement, now)) {
             placement.enter(Phase.STOPPING, now);
             placement.task().noteStall();
--- a/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
@@ -36,7 +36,6 @@
     private long lastEnd;
     private long ackCursor;
     private long quarantinedUntilNanos = Long.MIN_VALUE;
-    private long slowUntilNanos = Long.MIN_VALUE;
     private final Set<SubmissionId> failedSubmissions = new HashSet<>();
     private int longRunning;
 
@@ -196,16 +195,7 @@
     }
 
     boolean isQuarantined(long now) {
-        return isBefore(now, quarantinedUntilNanos) || isBefore(now, slowUntilNanos);
-    }
-
-    private static boolean isBefore(long now, long until) {
-        return until != Long.MIN_VALUE && now - until < 0;
-    }
-
-    /** Says that runs here are slow; ends that are reported do not prove the contrary. */
-    void setSlowUntil(long nanos) {
-        slowUntilNanos = nanos;
+        return quarantinedUntilNanos != Long.MIN_VALUE && now - quarantinedUntilNanos < 0;
     }
 
     void quarantineUntil(long nanos) {
--- a/core/src/test/java/org/crocusgrade/core/schedule/PoolSchedulerTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/PoolSchedulerTest.java
@@ -397,6 +397,24 @@
         assertThat(pool.starts(), hasSize(2));
     }
 
+    @Test
+    void aWorkerThatFailsRunsOfSeveralSubmissionsIsLeftAloneForAWhile() {
+        WorkerNode failing = pool.worker("w1", "r1");
+        for (int i = 0; i < 3; i++) {
+            pool.submit(false, step(1, 1000));
+        }
+        List<Placement> runs = pool.startAll();
+        for (int i = 0; i < 3; i++) {
+            pool.report(failing, end(1 + i, runs.get(i), How.FAILED));
+        }
+        pool.advance(Duration.ofMillis(100));
+        assertThat(pool.starts(), empty());
+        pool.worker("w2", "r1");
+        assertThat(pool.starts(), hasSize(3));
+        pool.advance(Duration.ofSeconds(3));
+        assertThat(failing.takesWork(pool.now()), is(true));
+    }
+
     @Test
     void opportunisticTasksReserveNoProcessors() {
         pool.worker("w1", "r1");
