Try a failed task on another worker first

Change: for two seconds a task whose run failed goes to another worker that could take it, even if that has no room yet; then to any. Ruled out: leaving a worker alone after fewer failed submissions (a few hopeless submissions would idle sound workers); avoiding it for good (a task might wait without end for a full pool). Figures: three tests, the first failed before. Conclusion: attempts are spent on different workers.

--- a/core/src/main/java/org/crocusgrade/core/schedule/Placer.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placer.java
@@ -13,8 +13,10 @@
  * fullest worker that still fits them, so that whole hosts come free. Long-running tasks go to
  * workers that have such tasks already, as far as the step's limit for a worker allows, and the
  * tasks of one step go to different racks first, so that a lost rack or a maintenance wave takes
- * few of them. Opportunistic tasks go where the most processors are unclaimed, so that each has
- * something to work with and few of them disturb tasks that serve users.
+ * few of them. A task whose run failed goes to another worker if there is any: a worker that fails
+ * all it starts always has room, and would use up the attempts of task after task. Opportunistic
+ * tasks go where the most processors are unclaimed, so that each has something to work with and few
+ * of them disturb tasks that serve users.
  */
 final class Placer {
     /** How long a task waits for a place on the rack of its data or of its step, in nanoseconds. */
@@ -26,6 +28,9 @@
     /** More than the processors of any worker, in thousandths of a core. */
     private static final long LAST_CHOICE = 1L << 40;
 
+    /** How long a task that failed waits for another worker while one could take it. */
+    private static final long AVOID_NANOS = 2_000_000_000L;
+
     private final PoolState pool;
     private final Pacer pacer;
     private final Set<WorkerNode> reserved = new HashSet<>();
@@ -80,6 +85,7 @@
     Optional<WorkerNode> choose(Task task, long now) {
         StepRun step = task.step();
         boolean advised = isAdvised(step);
+        boolean avoids = task.hasFailedWithin(AVOID_NANOS, now) && hasFreshWorker(task, now);
         WorkerNode best = null;
         long bestCost = Long.MAX_VALUE;
         for (WorkerNode worker : pool.workers().values()) {
@@ -89,6 +95,9 @@
             if (advised && step.advice().ticket(worker, now).isEmpty()) {
                 continue;
             }
+            if (avoids && task.hasFailedOn(worker.id())) {
+                continue;
+            }
             long cost = cost(worker, step);
             if (best == null || cost < bestCost) {
                 best = worker;
@@ -138,6 +147,24 @@
         return isOnWantedRack(worker, step, now);
     }
 
+    /**
+     * Returns whether there is a worker, perhaps without room now, on which a task has not failed.
+     */
+    private boolean hasFreshWorker(Task task, long now) {
+        for (WorkerNode worker : pool.workers().values()) {
+            StepRun step = task.step();
+            boolean usable =
+                    worker.takesWork(now)
+                            && couldTake(worker, step.spec())
+                            && !isAtLimit(worker, step)
+                            && !step.advice().isDenied(worker);
+            if (usable && !task.hasFailedOn(worker.id())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private boolean isOnWantedRack(WorkerNode worker, StepRun step, long now) {
         Optional<String> wanted = step.rack().or(() -> step.spec().dataRack());
         if (wanted.isEmpty() || !racks().contains(wanted.get())) {
--- a/core/src/main/java/org/crocusgrade/core/schedule/ReportIntake.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/ReportIntake.java
@@ -152,6 +152,7 @@
                 if (worker.noteFailure(end.task().step().submission()) >= QUARANTINE_FAILURES) {
                     worker.quarantineUntil(now + QUARANTINE_NANOS);
                 }
+                task.noteFailedOn(worker.id(), now);
                 fail(task, end.run(), now, wall);
             }
             case ALONE, BROKEN -> task.waitUntil(now + RETRY_PAUSE_NANOS);
--- a/core/src/main/java/org/crocusgrade/core/schedule/Task.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Task.java
@@ -1,9 +1,12 @@
 package org.crocusgrade.core.schedule;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.SortedSet;
 import java.util.TreeSet;
+import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.submission.TaskId;
 
 /** One task of a submission: what is durable of it, and where its runs are. */
@@ -15,6 +18,8 @@
     private final TaskId id;
     private final SortedSet<Long> failedRuns = new TreeSet<>();
     private final List<Placement> placements = new ArrayList<>(1);
+    private final Set<WorkerId> failedOn = new HashSet<>();
+    private long failedNanos;
     private boolean done;
     private int stalls;
     private long lastRun;
@@ -85,6 +90,21 @@
         }
     }
 
+    void noteFailedOn(WorkerId worker, long now) {
+        failedOn.add(worker);
+        failedNanos = now;
+    }
+
+    /** Returns whether a run has failed on a worker: it may be the worker's fault. */
+    boolean hasFailedOn(WorkerId worker) {
+        return failedOn.contains(worker);
+    }
+
+    /** Returns whether a run has failed within a time. */
+    boolean hasFailedWithin(long nanos, long now) {
+        return !failedOn.isEmpty() && now - failedNanos < nanos;
+    }
+
     void waitUntil(long nanos) {
         notBeforeNanos = nanos;
     }
--- a/core/src/test/java/org/crocusgrade/core/schedule/PoolSchedulerTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/PoolSchedulerTest.java
@@ -415,6 +415,44 @@
         assertThat(failing.takesWork(pool.now()), is(true));
     }
 
+    /** A worker fails all it starts, so it is the one with the most room. */
+    @Test
+    void aTaskThatFailedOnAWorkerIsTriedOnAnother() {
+        WorkerNode first = pool.worker("w1", "r1");
+        pool.submit(false, step(1, 30_000));
+        Placement failed = pool.startAll().get(0);
+        WorkerNode other = pool.worker("w2", "r1");
+        pool.submit(false, step(1, 16_000));
+        assertThat(pool.startAll().get(0).worker(), is(other));
+        pool.report(first, end(1, failed, How.FAILED));
+        pool.advance(Duration.ofMillis(100));
+        assertThat("it waits for room elsewhere", pool.starts(), empty());
+        WorkerNode third = pool.worker("w3", "r1");
+        assertThat(pool.starts().get(0).worker(), is(third));
+    }
+
+    @Test
+    void aTaskThatFailedDoesNotWaitForAnotherWorkerForLong() {
+        WorkerNode first = pool.worker("w1", "r1");
+        pool.submit(false, step(1, 30_000));
+        Placement failed = pool.startAll().get(0);
+        pool.worker("w2", "r1");
+        pool.submit(false, step(1, 16_000));
+        pool.startAll();
+        pool.report(first, end(1, failed, How.FAILED));
+        pool.advance(Duration.ofMillis(2100));
+        assertThat(pool.starts().get(0).worker(), is(first));
+    }
+
+    @Test
+    void aTaskThatFailedOnAllWorkersIsTriedAgainSomewhere() {
+        WorkerNode only = pool.worker("w1", "r1");
+        pool.submit(false, step(1, 1000));
+        pool.report(only, end(1, pool.startAll().get(0), How.FAILED));
+        pool.advance(Duration.ofMillis(100));
+        assertThat(pool.starts(), hasSize(1));
+    }
+
     @Test
     void opportunisticTasksReserveNoProcessors() {
         pool.worker("w1", "r1");
