--- a/cli/src/main/java/org/crocusgrade/cli/CliMessage.java
+++ b/cli/src/main/java/org/crocusgrade/cli/CliMessage.java
@@ -29,6 +29,8 @@
     NO_DAEMON("no-daemon", "no daemon answered; listed: %s", ExitCode.UNREACHABLE),
     /** Neither a reason nor a host of the name is known. */
     NOT_FOUND("not-found", "'%s' is neither a reason nor a host; reasons: %s", ExitCode.REFUSED),
+    /** No line of the logs is about a submission. */
+    NOT_IN_LOGS("not-in-logs", "none of %2$d lines is about '%1$s'", ExitCode.REFUSED),
     /** The stored configuration has no such service. */
     NO_SUCH_SERVICE("no-such-service", "there is no service '%s'; there are: %s", ExitCode.REFUSED),
     /** A command was broken off. */
