Correct the pacer's worked case and hold it by a test

Cause: the last read of the change: a tail of 70 ms of 80 slows tasks down further, it does not leave them. Change: the comment says 60; a test plays the case. No code changed.

--- a/core/src/main/java/org/crocusgrade/core/schedule/Pacer.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Pacer.java
@@ -15,7 +15,7 @@
  * slowed down together, by a factor that grows with the excess, before the tail has been over the
  * target for long, and come back slowly, in small steps, while it is well below. A share that was
  * too much is remembered for a while, and what comes back stays below it. Worked case: the target
- * is 80 ms and three looks show tails of 100, 70 and 40 ms: from 100 the share goes to 40 percent,
+ * is 80 ms and three looks show tails of 100, 60 and 40 ms: from 100 the share goes to 40 percent,
  * stays, and rises to 50.
  */
 final class Pacer {
--- a/core/src/test/java/org/crocusgrade/core/schedule/PacerTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/PacerTest.java
@@ -42,6 +42,16 @@
         assertThat(orders.stream().map(Order.Pace::percent).toList(), everyItem(is(75)));
     }
 
+    @Test
+    void theShareFallsStaysAndRisesWithTheTail() {
+        start(1);
+        look(100);
+        assertThat(share(), is(40));
+        assertThat(look(60), empty());
+        look(40);
+        assertThat(share(), is(50));
+    }
+
     @Test
     void aTailFarOverItsTargetStopsThemAlmostAtOnce() {
         start(1);
