--- a/core/src/main/java/org/crocusgrade/core/schedule/Order.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Order.java
@@ -32,6 +32,11 @@
      *
      * @param placement the run's placement; empty if this owner does not track the run
      */
-    record Stop(WorkerNode worker, TaskId task, long run, Optional<Placement> placement)
+    record Stop(
+            WorkerNode worker,
+            TaskId task,
+            long run,
+            Optional<Placement> placement,
+            StopReason reason)
             implements Order {}
 }
--- a/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
@@ -17,6 +17,7 @@
     private final long orderedNanos;
     private Optional<String> ticket = Optional.empty();
     private Phase phase = Phase.STARTING;
+    private StopReason stopReason = StopReason.UNWANTED;
     private long absenceProvableAfterNanos;
     private long stopSentNanos;
     private boolean listed;
@@ -81,6 +82,23 @@
         absenceProvableAfterNanos = now;
     }
 
+    /** Marks the run to be stopped. */
+    void requireStop(StopReason reason, long now) {
+        stopReason = reason;
+        enter(Phase.STOPPING, now);
+    }
+
+    /** Marks the start order as unanswered. */
+    void setUncertain(long now) {
+        stopReason = StopReason.UNANSWERED_START;
+        enter(Phase.UNCERTAIN, now);
+    }
+
+    /** Returns why the run is stopped; meaningful only while it is uncertain or to be stopped. */
+    StopReason stopReason() {
+        return stopReason;
+    }
+
     /**
      * Returns whether a report of this incarnation of the worker has shown the run. An answer to a
      * start order does not identify the incarnation that sent it.
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -160,7 +160,7 @@
             Placement carried =
                     new Placement(
                             placement.task(), next, placement.run(), placement.checkpoint(), now);
-            carried.enter(Phase.UNCERTAIN, now);
+            carried.setUncertain(now);
             next.add(carried);
         }
         removeWorker(last);
@@ -202,7 +202,7 @@
                 placement.enter(Phase.RUNNING, now);
                 placement.task().step().submission().setBegun();
             }
-            case UNKNOWN -> placement.enter(Phase.UNCERTAIN, now);
+            case UNKNOWN -> placement.setUncertain(now);
             case NO_TICKET -> {
                 placement.task().step().advice().removeTicket(placement.worker());
                 refused(placement, now);
@@ -364,7 +364,7 @@
         for (Task member : step.tasks()) {
             for (Placement placement : member.placements()) {
                 if (placement.run() == refused.run()) {
-                    placement.enter(Phase.STOPPING, now);
+                    placement.requireStop(StopReason.GANG_INCOMPLETE, now);
                 }
             }
         }
--- a/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
@@ -81,7 +81,13 @@
         for (WorkerNode worker : pool.workers().values()) {
             for (RunId run : reports.unwanted(worker)) {
                 if (unwantedStopNanos.putIfAbsent(run, now) == null) {
-                    orders.add(new Order.Stop(worker, run.task(), run.run(), Optional.empty()));
+                    orders.add(
+                            new Order.Stop(
+                                    worker,
+                                    run.task(),
+                                    run.run(),
+                                    Optional.empty(),
+                                    StopReason.UNWANTED));
                 }
             }
             for (Placement placement : worker.placements()) {
@@ -93,7 +99,8 @@
                                     worker,
                                     placement.task().id(),
                                     placement.run(),
-                                    Optional.of(placement)));
+                                    Optional.of(placement),
+                                    placement.stopReason()));
                 }
             }
         }
@@ -107,7 +114,7 @@
     private void updatePhase(Placement placement, long now) {
         if (placement.phase() == Phase.STARTING) {
             if (now - placement.orderedNanos() > START_TIMEOUT_NANOS) {
-                placement.enter(Phase.UNCERTAIN, now);
+                placement.setUncertain(now);
             }
             return;
         }
@@ -116,12 +123,17 @@
         }
         Task task = placement.task();
         boolean ended = task.isDone() || task.step().submission().outcome().isFinal();
-        if (ended || mayEvacuate(placement, now)) {
-            placement.enter(Phase.STOPPING, now);
+        if (ended) {
+            placement.requireStop(StopReason.ENDED, now);
+            return;
+        }
+        if (mayEvacuate(placement, now)) {
+            boolean draining = placement.worker().isDraining();
+            placement.requireStop(draining ? StopReason.DRAINING : StopReason.EVACUATED, now);
             return;
         }
         if (isStalled(placement, now)) {
-            placement.enter(Phase.STOPPING, now);
+            placement.requireStop(StopReason.STALLED, now);
             placement.task().recordStall();
             SubmissionId submission = placement.task().step().submission().id();
             if (placement.worker().recordFailure(submission) >= QUARANTINE_STALLS) {
--- a/core/src/main/java/org/crocusgrade/core/schedule/TrackedStep.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/TrackedStep.java
@@ -78,7 +78,7 @@
     }
 
     /** Returns how many tasks are neither done nor at their full share. */
-    int unavailableTasks() {
+    public int unavailableTasks() {
         int unavailable = 0;
         for (Task task : tasks) {
             if (!task.isDone() && !task.isAtFullShare()) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
@@ -52,6 +52,7 @@
     private final PrefixWatcher operators;
     private final Map<ServiceId, PoolOwner> owners = new HashMap<>();
     private final FleetController fleet;
+    private final LoopMonitor loopMonitor;
     private DutyManager duties;
     private PeerRpc peers;
     private AdviceDispatcher advice;
@@ -81,6 +82,8 @@
         operators =
                 runtime.watcher(
                         runtime.format().operatorPrefix(), Duration.ZERO, this::onOperatorEntries);
+        loopMonitor =
+                new LoopMonitor(runtime.clock(), runtime.log(), Duration.ofMillis(TICK_MILLIS));
         fleet = new FleetController(runtime, identity.daemon(), this::sendEvacuation);
     }
 
@@ -350,6 +353,7 @@
     }
 
     private void tick() {
+        loopMonitor.tick();
         owners.values().forEach(PoolOwner::tick);
         if (duties == null) {
             return;
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -19,6 +19,7 @@
 import org.crocusgrade.core.schedule.Placement;
 import org.crocusgrade.core.schedule.PoolScheduler;
 import org.crocusgrade.core.schedule.StartAnswer;
+import org.crocusgrade.core.schedule.TrackedStep;
 import org.crocusgrade.core.schedule.TrackedSubmission;
 import org.crocusgrade.core.submission.SubmissionId;
 import org.crocusgrade.core.submission.TaskEnd;
@@ -291,7 +292,10 @@
                     "answer",
                     answer,
                     "detail",
-                    detail);
+                    detail,
+                    "after-ms",
+                    Duration.ofNanos(runtime.clock().nanoTime() - placement.orderedNanos())
+                            .toMillis());
         }
         scheduler.onStartAnswer(placement, answer, runtime.clock().nanoTime());
         schedulePlan();
@@ -387,10 +391,30 @@
                     "percent",
                     pace.percent());
         } else if (order instanceof Order.Stop stop) {
-            log(Event.RUN_STOPPED, order, stop.task(), stop.run());
+            logStop(stop);
         }
     }
 
+    private void logStop(Order.Stop stop) {
+        String reason = stop.reason().text();
+        TrackedStep step = stop.placement().map(p -> p.task().step()).orElse(null);
+        if (step == null || !step.spec().longRunning()) {
+            log(Event.RUN_STOPPED, stop, stop.task(), stop.run(), "reason", reason);
+            return;
+        }
+        log(
+                Event.RUN_STOPPED,
+                stop,
+                stop.task(),
+                stop.run(),
+                "reason",
+                reason,
+                "unavailable",
+                step.unavailableTasks(),
+                "max-unavailable",
+                step.spec().maxUnavailable());
+    }
+
     private void log(Event event, Order order, TaskId task, long run, Object... more) {
         List<Object> fields = new ArrayList<>();
         fields.addAll(List.of("task", task, "run", run, "worker", order.worker().id()));
--- a/daemon/src/main/java/org/crocusgrade/daemon/log/Event.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/log/Event.java
@@ -21,6 +21,10 @@
     DEPENDENCY_LOST(120, Level.WARNING),
     /** A service that this process depends on answers again. */
     DEPENDENCY_REGAINED(121, Level.INFO),
+    /** The event loop of this process runs late: it has more work than processor time. */
+    LOOP_DELAYED(122, Level.WARNING),
+    /** The event loop runs on time again. */
+    LOOP_ON_TIME(123, Level.INFO),
     /** This process has acquired a duty. */
     DUTY_GAINED(130, Level.INFO),
     /** This process no longer holds a duty. */
