--- a/core/src/test/java/org/crocusgrade/core/schedule/PoolSchedulerTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/PoolSchedulerTest.java
@@ -19,6 +19,7 @@
 import org.crocusgrade.core.submission.SubmissionState;
 import org.crocusgrade.core.submission.TaskEnd.Result;
 import org.crocusgrade.core.submission.TaskRun;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** When tasks start and stop, and which proof is needed before a run counts as ended. */
@@ -288,6 +289,53 @@
         assertThat(pool.stops(), hasSize(1));
     }
 
+    @Test
+    @Tag("known-red")
+    void runWithStopOrderOnItsWayCountsAsUnavailable() {
+        pool.worker("w1", "r1");
+        pool.worker("w2", "r2");
+        pool.submit(false, new StepBuilder(2, 1000).longRunning(1).maxPerWorker(1).build());
+        List<Placement> starts = pool.starts();
+        Placement unanswered = starts.get(0);
+        Placement other = starts.get(1);
+        pool.answer(unanswered, StartAnswer.UNKNOWN);
+        pool.answer(other, StartAnswer.STARTED);
+        pool.list(unanswered.worker(), List.of());
+        assertThat(pool.stops(), hasSize(1));
+        pool.list(unanswered.worker(), List.of(run(unanswered)));
+        pool.report(other.worker());
+        pool.worker("w3", "r3");
+        other.worker().setEvacuating(true);
+        assertThat(pool.stops(), empty());
+    }
+
+    @Test
+    @Tag("known-red")
+    void unansweredStartOfLongRunningTaskIsNotStoppedIfWorkerReportsRun() {
+        WorkerNode worker = pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(1, 1000).longRunning(1).build());
+        Placement unanswered = pool.starts().get(0);
+        pool.answer(unanswered, StartAnswer.UNKNOWN);
+        assertThat("the run may be at work", pool.stops(), empty());
+        pool.list(worker, List.of(run(unanswered)));
+        assertThat(pool.stops(), empty());
+        pool.advance(Duration.ofSeconds(5));
+        assertThat(pool.stops(), empty());
+    }
+
+    @Test
+    @Tag("known-red")
+    void lateReportsOfLongRunningTaskAreNotTakenForAStall() {
+        WorkerNode worker = pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(1, 1000).longRunning(1).build());
+        Placement placement = pool.startAll().get(0);
+        pool.list(worker, List.of(new TaskRun(placement.task().id(), placement.run(), "", 0, 0)));
+        pool.advance(Duration.ofSeconds(3));
+        assertThat("no report since", pool.stops(), empty());
+        pool.report(worker);
+        assertThat(pool.stops(), empty());
+    }
+
     @Test
     void tasksStayOnEvacuatingWorkerWithoutRoomElsewhere() {
         WorkerNode leaving = pool.worker("w1", "r1");
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
@@ -65,10 +65,14 @@
      * @param advised whether the policy of the queue allows only some workers
      */
     SimFleet(long seed, boolean advised) {
+        this(seed, advised, WORKERS);
+    }
+
+    SimFleet(long seed, boolean advised, int workerCount) {
         this.advised = advised;
         random = new Random(seed);
         store = new SimStore(time, random);
-        for (int i = 0; i < WORKERS; i++) {
+        for (int i = 0; i < workerCount; i++) {
             SimWorker worker = new SimWorker("w" + i, time, checks, TASK_MILLIS, advised);
             workers.put(worker.id, worker);
             register(worker);
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimLoop.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimLoop.java
@@ -14,6 +14,7 @@
     private final SimTime time;
     private boolean killed;
     private long frozenUntil;
+    private long busyUntil;
 
     SimLoop(SimTime time) {
         this.time = time;
@@ -27,6 +28,18 @@
         frozenUntil = time.nanoTime() + millis * 1_000_000;
     }
 
+    /**
+     * Executes a step that keeps the loop busy for some time after it; steps that are due meanwhile
+     * wait.
+     */
+    void execute(Runnable step, long costNanos) {
+        execute(
+                () -> {
+                    busyUntil = Math.max(busyUntil, time.nanoTime()) + costNanos;
+                    step.run();
+                });
+    }
+
     @Override
     public void execute(Runnable step) {
         time.at(time.nanoTime(), () -> run(step));
@@ -36,8 +49,9 @@
         if (killed) {
             return;
         }
-        if (time.nanoTime() < frozenUntil) {
-            time.at(frozenUntil, () -> run(step));
+        long free = Math.max(frozenUntil, busyUntil);
+        if (time.nanoTime() < free) {
+            time.at(free, () -> run(step));
             return;
         }
         step.run();
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimOrders.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimOrders.java
@@ -2,7 +2,9 @@
 
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
+import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.function.Consumer;
@@ -23,6 +25,8 @@
     private final Random random;
     private final Map<WorkerId, SimWorker> workers;
     private double lateShare;
+    private Optional<SimLoop> loop = Optional.empty();
+    private long passNanos;
 
     SimOrders(SimTime time, Random random, Map<WorkerId, SimWorker> workers) {
         this.time = time;
@@ -35,33 +39,44 @@
         lateShare = share;
     }
 
+    /**
+     * Lets each call use processor time of the loop of its sender: once to connect, once to send
+     * and once to read the answer. The time-out of a call does not wait for these.
+     */
+    void setCost(SimLoop sender, Duration pass) {
+        loop = Optional.of(sender);
+        passNanos = pass.toNanos();
+    }
+
     @Override
     public Uni<StartReply> start(Target target, StartRun order) {
-        return send(
-                target,
-                (worker, e) -> {
-                    StartOutcome outcome = worker.start(order, target.token());
-                    OptionalLong clock = OptionalLong.of(worker.clock());
-                    answerLater(() -> e.complete(new StartReply(outcome, clock)));
-                });
+        return withTimeout(
+                send(
+                        target,
+                        (worker, e) -> {
+                            StartOutcome outcome = worker.start(order, target.token());
+                            OptionalLong clock = OptionalLong.of(worker.clock());
+                            answerLater(() -> e.complete(new StartReply(outcome, clock)));
+                        }));
     }
 
     @Override
     public Uni<Long> stop(Target target, TaskId task, long run) {
-        return send(
-                target,
-                (worker, e) -> {
-                    boolean done = worker.stop(task, run, target.token());
-                    long clock = worker.clock();
-                    answerLater(
-                            () -> {
-                                if (done) {
-                                    e.complete(clock);
-                                } else {
-                                    e.fail(new OrderException(Kind.FENCED, "fenced"));
-                                }
-                            });
-                });
+        return withTimeout(
+                send(
+                        target,
+                        (worker, e) -> {
+                            boolean done = worker.stop(task, run, target.token());
+                            long clock = worker.clock();
+                            answerLater(
+                                    () -> {
+                                        if (done) {
+                                            e.complete(clock);
+                                        } else {
+                                            e.fail(new OrderException(Kind.FENCED, "fenced"));
+                                        }
+                                    });
+                        }));
     }
 
     @Override
@@ -102,7 +117,33 @@
     }
 
     private <T> Uni<T> send(Target target, OrderAction<T> action) {
-        return Uni.createFrom().emitter(e -> send(target, action, e));
+        return Uni.createFrom()
+                .emitter(
+                        e -> {
+                            if (loop.isEmpty()) {
+                                send(target, action, e);
+                                return;
+                            }
+                            SimLoop sender = loop.get();
+                            sender.execute(
+                                    () -> sender.execute(() -> send(target, action, e), passNanos),
+                                    passNanos);
+                        });
+    }
+
+    /** Starts the time-out of an order whose answer may wait for the loop of its sender. */
+    private <T> Uni<T> withTimeout(Uni<T> call) {
+        if (loop.isEmpty()) {
+            return call;
+        }
+        return Uni.createFrom()
+                .emitter(
+                        e -> {
+                            time.afterMillis(
+                                    TIMEOUT_MILLIS,
+                                    () -> e.fail(new OrderException(Kind.NO_ANSWER, "slow")));
+                            call.subscribe().with(e::complete, e::fail);
+                        });
     }
 
     private <T> void send(Target target, OrderAction<T> action, UniEmitter<? super T> emitter) {
@@ -142,7 +183,9 @@
     }
 
     private void answerLater(Runnable answer) {
-        time.afterMillis(LATENCY_MILLIS, answer);
+        time.afterMillis(
+                LATENCY_MILLIS,
+                () -> loop.ifPresentOrElse(sender -> sender.execute(answer, passNanos), answer));
     }
 
     @FunctionalInterface
