Stop no long-running task that may be at work because the owner is late

Reading that code showed two more ways: once the worker reports such a run again, it counts as at work while its stop is still on its way, so others are evacuated; and a run whose reports are late counts as stalled.

Now an unanswered start of a long-running task is stopped only when a report that was requested later lacks it; a run whose stop was sent stays one that is being stopped; and a stall is judged by the times of reports, not by the time since the last one.

--- a/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
@@ -21,6 +21,7 @@
     private long absenceProvableAfterNanos;
     private long stopSentNanos;
     private boolean listed;
+    private boolean absentSinceUncertain;
     private boolean stopInFlight;
     private boolean stopSent;
     private boolean stopAnswered;
@@ -94,6 +95,40 @@
         enter(Phase.UNCERTAIN, now);
     }
 
+    /**
+     * Records that a report lists the run. A run whose stop order has been sent will end, so it
+     * does not become active again.
+     */
+    void setListed(long now) {
+        listed = true;
+        if (phase == Phase.UNCERTAIN && stopSent) {
+            requireStop(stopReason, now);
+        } else if (phase == Phase.STARTING || phase == Phase.UNCERTAIN) {
+            enter(Phase.RUNNING, now);
+            task.step().submission().setBegun();
+        }
+    }
+
+    /** Records that a report lacks the run, if it was requested after the start got no answer. */
+    void setAbsent(long requestedNanos) {
+        absentSinceUncertain |=
+                phase == Phase.UNCERTAIN && requestedNanos - absenceProvableAfterNanos > 0;
+    }
+
+    /**
+     * Returns whether a stop is to be ordered. An unanswered start of a long-running task may be at
+     * work, so it is stopped only once a report lacks it, or if its submission has ended: stopping
+     * a run at work could make more tasks of the step unavailable than allowed.
+     */
+    boolean needsStop() {
+        if (phase != Phase.UNCERTAIN) {
+            return phase == Phase.STOPPING;
+        }
+        TrackedStep step = task.step();
+        boolean ended = task.isDone() || step.submission().outcome().isFinal();
+        return ended || absentSinceUncertain || !step.spec().longRunning();
+    }
+
     /** Returns why the run is stopped; meaningful only while it is uncertain or to be stopped. */
     StopReason stopReason() {
         return stopReason;
@@ -125,7 +160,6 @@
     }
 
     void observe(int share, long reportedLoad, long now) {
-        listed = true;
         if (share != percent) {
             percent = share;
             percentNanos = now;
--- a/core/src/main/java/org/crocusgrade/core/schedule/ReportProcessor.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/ReportProcessor.java
@@ -57,7 +57,7 @@
             List<TaskEnd> ends,
             long now,
             Instant wall) {
-        worker.setReported(now);
+        worker.setReported(requestedNanos, now);
         Set<RunId> listed = new HashSet<>();
         Set<RunId> unwantedHere = new HashSet<>();
         for (TaskRun run : running) {
@@ -119,10 +119,7 @@
     }
 
     private void observe(Placement placement, TaskRun reported, long now) {
-        if (placement.phase() == Phase.STARTING || placement.phase() == Phase.UNCERTAIN) {
-            placement.enter(Phase.RUNNING, now);
-            placement.task().step().submission().setBegun();
-        }
+        placement.setListed(now);
         placement.observe(reported.percent(), reported.load(), now);
         placement.task().setCheckpoint(reported.checkpoint());
     }
@@ -214,8 +211,11 @@
     private void dropAbsent(WorkerNode worker, Set<RunId> listed, long requestedNanos) {
         List<Placement> gone = new ArrayList<>();
         for (Placement placement : worker.placements()) {
-            boolean present = listed.contains(new RunId(placement.task().id(), placement.run()));
-            if (!present && placement.isAbsenceCertain(requestedNanos)) {
+            if (listed.contains(new RunId(placement.task().id(), placement.run()))) {
+                continue;
+            }
+            placement.setAbsent(requestedNanos);
+            if (placement.isAbsenceCertain(requestedNanos)) {
                 gone.add(placement);
             }
         }
--- a/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
@@ -92,7 +92,7 @@
             }
             for (Placement placement : worker.placements()) {
                 updatePhase(placement, now);
-                if (needsStop(placement) && placement.isStopDue(now, RETRY_NANOS)) {
+                if (placement.needsStop() && placement.isStopDue(now, RETRY_NANOS)) {
                     placement.stopSent(now);
                     orders.add(
                             new Order.Stop(
@@ -107,10 +107,6 @@
         return orders;
     }
 
-    private static boolean needsStop(Placement placement) {
-        return placement.phase() == Phase.UNCERTAIN || placement.phase() == Phase.STOPPING;
-    }
-
     private void updatePhase(Placement placement, long now) {
         if (placement.phase() == Phase.STARTING) {
             if (now - placement.orderedNanos() > START_TIMEOUT_NANOS) {
@@ -132,7 +128,7 @@
             placement.requireStop(draining ? StopReason.DRAINING : StopReason.EVACUATED, now);
             return;
         }
-        if (isStalled(placement, now)) {
+        if (isStalled(placement)) {
             placement.requireStop(StopReason.STALLED, now);
             placement.task().recordStall();
             SubmissionId submission = placement.task().step().submission().id();
@@ -142,15 +138,19 @@
         }
     }
 
-    private boolean isStalled(Placement placement, long now) {
+    /**
+     * Returns whether the worker's reports show that a run makes no progress. The time since the
+     * last report does not count: the owner may be late to read the next one.
+     */
+    private boolean isStalled(Placement placement) {
         TrackedStep step = placement.task().step();
-        if (placement.worker().isSilent() || !placement.isListed()) {
+        WorkerNode worker = placement.worker();
+        if (worker.isSilent() || !placement.isListed()) {
             return false;
         }
         if (step.spec().longRunning()) {
             return !placement.isAtFullShare()
-                    && now - placement.orderedNanos() > SETTLE_NANOS
-                    && now - placement.percentNanos() > SETTLE_NANOS;
+                    && worker.reportRequestedNanos() - placement.percentNanos() > SETTLE_NANOS;
         }
         if (step.spec().opportunistic()) {
             return false;
@@ -160,7 +160,7 @@
         double factor = mayBeRemote ? STALL_FACTOR * REMOTE_FACTOR : STALL_FACTOR;
         double limit = (predicted * factor + STALL_SLACK_MILLIS) * (1 << placement.task().stalls());
         return times.hasEnoughRuns(step.submission().queue())
-                && (now - placement.orderedNanos()) / NANOS_PER_MILLI > limit;
+                && (worker.reportedNanos() - placement.orderedNanos()) / NANOS_PER_MILLI > limit;
     }
 
     /**
--- a/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
@@ -33,6 +33,7 @@
     private boolean draining;
     private boolean evacuating;
     private long reportedNanos = Long.MIN_VALUE;
+    private long reportRequestedNanos = Long.MIN_VALUE;
     private long lastEnd;
     private long ackCursor;
     private long quarantinedUntilNanos = Long.MIN_VALUE;
@@ -134,7 +135,13 @@
         return reportedNanos;
     }
 
-    void setReported(long now) {
+    /** Returns when the worker's last report was requested; it shows a state after that time. */
+    long reportRequestedNanos() {
+        return reportRequestedNanos;
+    }
+
+    void setReported(long requestedNanos, long now) {
+        reportRequestedNanos = requestedNanos;
         reportedNanos = now;
     }
 
