Bound the orders that a pool's owner has in flight

In the record the pool's owner uses all of its 0.36 cores and has ordered 8,171 runs by 16.8 s, of which 5,033 were not started and 3,363 stopped. It sent every order at once, so each waited for all others, and stopping and ordering the runs again used more processor time than the orders did: the overload kept itself up.

Now the start and stop orders in flight are bounded by a window with additive increase and multiplicative decrease, which follows the delay of the answers.

--- a/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
@@ -167,6 +167,11 @@
         load = reportedLoad;
     }
 
+    /** Returns whether an order for the run has been sent that is not answered yet. */
+    boolean isOrderInFlight() {
+        return phase == Phase.STARTING || stopInFlight;
+    }
+
     boolean isStopDue(long now, long retryNanos) {
         boolean waits = stopSent && now - stopSentNanos < retryNanos;
         return !stopInFlight && !stopAnswered && !waits;
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -42,6 +42,7 @@
     private final Pacer pacer;
     private final ArrivalMeter arrivals = new ArrivalMeter();
     private final RecentCapacity capacity = new RecentCapacity();
+    private final OrderWindow window = new OrderWindow();
 
     /**
      * Makes a scheduler without submissions and workers.
@@ -194,6 +195,9 @@
 
     /** Processes the result of a start order. */
     public void onStartAnswer(Placement placement, StartAnswer answer, long now) {
+        if (answer != StartAnswer.UNKNOWN && answer != StartAnswer.NOT_SENT) {
+            window.onAnswer(now - placement.orderedNanos(), now);
+        }
         if (placement.phase() != Phase.STARTING) {
             return;
         }
@@ -240,12 +244,24 @@
     /** Returns the orders to send now. */
     public List<Order> plan(long now, Instant wall) {
         capacity.usableCores(batchCores(now), now);
-        List<Order> orders = new ArrayList<>(stops.plan(now));
+        int room = window.room(ordersInFlight());
+        List<Order> orders = new ArrayList<>(stops.plan(now, room));
+        orders.addAll(starts.plan(now, wall, room - orders.size()));
+        window.setLimiting(orders.size() >= room);
         orders.addAll(pacer.plan(now));
-        orders.addAll(starts.plan(now, wall));
         return orders;
     }
 
+    private int ordersInFlight() {
+        int count = 0;
+        for (WorkerNode worker : pool.workers().values()) {
+            for (Placement placement : worker.placements()) {
+                count += placement.isOrderInFlight() ? 1 : 0;
+            }
+        }
+        return count;
+    }
+
     /**
      * Decides whether a submission is accepted: returns empty if so, else the delay before its
      * caller should retry. Its work is counted as offered load in both cases, unless it is
--- a/core/src/main/java/org/crocusgrade/core/schedule/StartPlanner.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StartPlanner.java
@@ -21,8 +21,14 @@
         this.placer = new Placer(pool, pacer);
     }
 
-    List<Order> plan(long now, Instant wall) {
+    /**
+     * Returns the start orders to send now: at most {@code room}, but a gang is started as a whole.
+     */
+    List<Order> plan(long now, Instant wall, int room) {
         List<Order> orders = new ArrayList<>();
+        if (room <= 0) {
+            return orders;
+        }
         placer.beginRound();
         boolean blocked = false;
         for (TrackedSubmission submission : ranking.sort(pool.active(), now)) {
@@ -30,7 +36,10 @@
                 continue;
             }
             for (TrackedStep step : readySteps(submission, wall)) {
-                boolean placedAll = placeStep(step, now, orders);
+                boolean placedAll = placeStep(step, now, orders, room);
+                if (orders.size() >= room) {
+                    return orders;
+                }
                 if (!placedAll && !blocked) {
                     blocked = placer.reserveFor(step, now);
                 }
@@ -55,8 +64,11 @@
         return ready;
     }
 
-    /** Places as many startable tasks as possible; returns whether none is left over. */
-    private boolean placeStep(TrackedStep step, long now, List<Order> orders) {
+    /**
+     * Places as many startable tasks as possible, until there are {@code room} orders; returns
+     * whether none is left over.
+     */
+    private boolean placeStep(TrackedStep step, long now, List<Order> orders, int room) {
         List<Task> startable = step.tasks().stream().filter(t -> t.isStartable(now)).toList();
         if (startable.isEmpty()) {
             return true;
@@ -70,7 +82,7 @@
         }
         for (Task task : startable) {
             Optional<WorkerNode> worker = placer.choose(task, now);
-            if (worker.isEmpty()) {
+            if (worker.isEmpty() || orders.size() >= room) {
                 return false;
             }
             orders.add(place(task, worker.get(), pool.nextRun(task), now));
--- a/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
@@ -75,12 +75,13 @@
         evacuateFromNanos = nanos;
     }
 
-    List<Order> plan(long now) {
+    /** Returns at most {@code room} stop orders; the others stay due. */
+    List<Order> plan(long now, int room) {
         List<Order> orders = new ArrayList<>();
         unwantedStopNanos.values().removeIf(sent -> now - sent >= RETRY_NANOS);
         for (WorkerNode worker : pool.workers().values()) {
             for (RunId run : reports.unwanted(worker)) {
-                if (unwantedStopNanos.putIfAbsent(run, now) == null) {
+                if (orders.size() < room && unwantedStopNanos.putIfAbsent(run, now) == null) {
                     orders.add(
                             new Order.Stop(
                                     worker,
@@ -92,7 +93,8 @@
             }
             for (Placement placement : worker.placements()) {
                 updatePhase(placement, now);
-                if (placement.needsStop() && placement.isStopDue(now, RETRY_NANOS)) {
+                boolean due = placement.needsStop() && placement.isStopDue(now, RETRY_NANOS);
+                if (due && orders.size() < room) {
                     placement.stopSent(now);
                     orders.add(
                             new Order.Stop(
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/LoopMonitor.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/LoopMonitor.java
@@ -11,10 +11,10 @@
  */
 final class LoopMonitor {
     /** From this delay on the loop counts as delayed. */
-    private static final Duration DELAYED = Duration.ofMillis(200);
+    private static final Duration DELAYED = Duration.ofMillis(100);
 
     /** Hysteresis: below this delay the loop counts as on time again. */
-    private static final Duration ON_TIME = Duration.ofMillis(50);
+    private static final Duration ON_TIME = Duration.ofMillis(30);
 
     private final Clock clock;
     private final EventLog log;
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -304,6 +304,7 @@
     @Override
     public void onStopAnswer(Placement placement, boolean answered) {
         scheduler.onStopAnswer(placement, answered, runtime.clock().nanoTime());
+        schedulePlan();
     }
 
     @Override
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/OverloadedOwnerTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/OverloadedOwnerTest.java
@@ -5,7 +5,6 @@
 import static org.hamcrest.Matchers.is;
 
 import java.time.Duration;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -22,7 +21,6 @@
     private static final Duration PASS = Duration.ofMillis(1);
 
     @Test
-    @Tag("known-red")
     void surgeIsStartedOnceByAnOwnerWithLittleProcessorTime() {
         SimFleet fleet = new SimFleet(1, false, WORKERS);
         fleet.daemons.values().forEach(d -> d.orders.setCost(d.loop, PASS));
