Let the window of orders in flight grow fast until it first shrinks

With one more order for each window of answers, a pool on which a fifth of the orders gets no answer would take seconds at the start of a surge to use what its owner can handle.

--- a/core/src/main/java/org/crocusgrade/core/schedule/OrderWindow.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/OrderWindow.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 
 /**
- * Bounds the start and stop orders in flight of a pool's owner, by additive increase and
- * multiplicative decrease.
+ * Bounds the start and stop orders in flight of a pool's owner, by slow start, then additive
+ * increase and multiplicative decrease.
  *
  * <p>Load: a surge makes thousands of tasks startable within seconds, on an owner with little
  * processor time. Each order uses some of it to connect, to send and to read the answer. If all
@@ -31,6 +31,9 @@
 
     private static final double SHRINK_FACTOR = 0.5;
 
+    /** Growth for each answer until the window shrinks for the first time. */
+    private static final double SLOW_START_GROWTH = 0.5;
+
     private double size = INITIAL;
     private double delayNanos;
     private boolean limiting;
@@ -49,12 +52,13 @@
 
     /**
      * Records that an order was answered some time after it was made. The window grows by one order
-     * each time that as many as it holds were answered.
+     * each time that as many as it holds were answered, and by half its size until it has shrunk.
      */
     void onAnswer(long answerNanos, long now) {
         delayNanos += NEWEST_WEIGHT * (answerNanos - delayNanos);
         if (delayNanos <= TARGET_NANOS) {
-            size = limiting ? Math.min(MAX, size + 1 / size) : size;
+            double growth = shrunk ? 1 / size : SLOW_START_GROWTH;
+            size = limiting ? Math.min(MAX, size + growth) : size;
             return;
         }
         if (!shrunk || now - shrunkNanos > TARGET_NANOS) {
