Give duties to the daemons that have most processor time for them

A daemon's record in the store has its processors; a record of an earlier version counts as one core.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
@@ -189,15 +189,7 @@
             return;
         }
         advice = new AdviceDispatcher(runtime, identity.daemon(), peers);
-        duties =
-                new DutyManager(
-                        runtime,
-                        identity.daemon(),
-                        identity.boot(),
-                        identity.zone(),
-                        address,
-                        identity.settleTime(),
-                        this);
+        duties = new DutyManager(runtime, identity, address, this);
         gateway =
                 new SubmissionGateway(
                         runtime,
@@ -384,12 +376,15 @@
      * @param boot identifies this incarnation of the daemon
      * @param zone its availability zone
      * @param peerAddress the address at which other daemons reach it
-     * @param settleTime how long it claims no duty after it has registered
+     * @param milliCores the processor time that it may use, in thousandths of a core
+     * @param settleTime how long it claims no duty after it has registered, so that daemons that
+     *     start together see each other first
      */
     public record Identity(
             DaemonId daemon,
             BootId boot,
             String zone,
             InetSocketAddress peerAddress,
+            int milliCores,
             Duration settleTime) {}
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyManager.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyManager.java
@@ -46,6 +46,9 @@
     /** Interval between checks for duties without a holder, in milliseconds. */
     private static final long CLAIM_CHECK_MILLIS = 100;
 
+    /** What a daemon counts as whose record does not say how much processor time it may use. */
+    private static final int UNKNOWN_MILLI_CORES = 1000;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final BatchRuntime runtime;
@@ -60,7 +63,7 @@
     private final Map<Duty, Long> vacantSince = new HashMap<>();
     private final Set<Duty> claiming = new HashSet<>();
     private Map<String, StoreEntry> entries = Map.of();
-    private Map<DaemonId, Instant> started = Map.of();
+    private Map<DaemonId, DutyRank.Candidate> candidates = Map.of();
     private Map<Duty, Holder> holders = Map.of();
     private Set<Duty> wanted = Set.of();
     private boolean stopped;
@@ -68,27 +71,24 @@
     /**
      * Creates a manager; {@link #start} registers the daemon.
      *
-     * @param settleTime how long after its registration this daemon claims nothing, so that daemons
-     *     that start together see each other first
+     * @param peerAddress the address at which other daemons reach this one
      */
     DutyManager(
             BatchRuntime runtime,
-            DaemonId self,
-            BootId boot,
-            String zone,
+            BatchNode.Identity identity,
             InetSocketAddress peerAddress,
-            Duration settleTime,
             Listener listener) {
         this.runtime = runtime;
-        this.self = self;
-        this.boot = boot;
-        this.settleTime = settleTime;
+        self = identity.daemon();
+        boot = identity.boot();
+        settleTime = identity.settleTime();
         this.listener = listener;
         byte[] record =
                 StoredDaemon.newBuilder()
                         .setBoot(boot.value())
                         .setAddress(Addresses.format(peerAddress))
-                        .setZone(zone)
+                        .setZone(identity.zone())
+                        .setMilliCores(identity.milliCores())
                         .setStartedEpochMs(runtime.clock().now().toEpochMilli())
                         .build()
                         .toByteArray();
@@ -172,12 +172,12 @@
     private void onEntries(Map<String, StoreEntry> current) {
         entries = current;
         Map<DaemonId, InetSocketAddress> found = new TreeMap<>();
-        Map<DaemonId, Instant> starts = new TreeMap<>();
+        Map<DaemonId, DutyRank.Candidate> listed = new TreeMap<>();
         Map<Duty, Holder> held = new TreeMap<>();
         for (StoreEntry entry : current.values()) {
-            read(entry, found, starts, held);
+            read(entry, found, listed, held);
         }
-        started = starts;
+        candidates = listed;
         holders = held;
         listener.onDaemons(found);
         for (DutyOwnership ownership : List.copyOf(ownerships.values())) {
@@ -193,14 +193,17 @@
     private void read(
             StoreEntry entry,
             Map<DaemonId, InetSocketAddress> found,
-            Map<DaemonId, Instant> starts,
+            Map<DaemonId, DutyRank.Candidate> listed,
             Map<Duty, Holder> held) {
         try {
             if (entry.key().startsWith(StoreKeys.DAEMONS)) {
                 String name = entry.key().substring(StoreKeys.DAEMONS.length());
                 StoredDaemon daemon = StoredDaemon.parseFrom(entry.value());
                 found.put(new DaemonId(name), Addresses.parse(daemon.getAddress()));
-                starts.put(new DaemonId(name), Instant.ofEpochMilli(daemon.getStartedEpochMs()));
+                int milliCores =
+                        daemon.getMilliCores() > 0 ? daemon.getMilliCores() : UNKNOWN_MILLI_CORES;
+                Instant started = Instant.ofEpochMilli(daemon.getStartedEpochMs());
+                listed.put(new DaemonId(name), new DutyRank.Candidate(started, milliCores));
             } else if (entry.key().startsWith(StoreKeys.HOLDERS)) {
                 String name = entry.key().substring(StoreKeys.HOLDERS.length());
                 StoredHolder holder = StoredHolder.parseFrom(entry.value());
@@ -266,7 +269,8 @@
     /** Returns this daemon's rank among the candidates for a duty, counted from 0. */
     private int rank(Duty duty) {
         List<DaemonId> busy = holders.values().stream().map(Holder::daemon).toList();
-        List<DaemonId> ranked = DutyRank.order(duty.name(), started, busy, runtime.clock().now());
+        List<DaemonId> ranked =
+                DutyRank.order(duty.name(), candidates, busy, runtime.clock().now());
         int place = ranked.indexOf(self);
         return place < 0 ? ranked.size() : place;
     }
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
@@ -243,7 +243,7 @@
                     new BatchNode(
                             runtime,
                             new BatchNode.Identity(
-                                    name, boot, "zone", address, Duration.ofMillis(500)),
+                                    name, boot, "zone", address, 1000, Duration.ofMillis(500)),
                             (key, l) -> {
                                 listener = l;
                                 link = new Link(name, boot);
