--- a/core/src/main/java/org/crocusgrade/core/schedule/OrderWindow.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/OrderWindow.java
@@ -17,6 +17,9 @@
  * <p>Worked case: an owner reads 300 answers in a second. With 1,000 orders in flight the last
  * answer is read after 3.3 s. The window grows while answers take at most 250 ms, so it stays near
  * 75, and each order is answered within a third of its time-out.
+ *
+ * <p>An order that is unanswered for longer than that counts as lost, not as in flight: otherwise
+ * orders to a worker that does not answer would hold up those to all others.
  */
 final class OrderWindow {
     private static final int INITIAL = 16;
@@ -24,7 +27,7 @@
     private static final int MAX = 256;
 
     /** The window shrinks while answers take longer than this: a third of an order's time-out. */
-    private static final long TARGET_NANOS = Duration.ofMillis(250).toNanos();
+    static final long TARGET_NANOS = Duration.ofMillis(250).toNanos();
 
     /** Weight of the newest answer in the moving average of delays. */
     private static final double NEWEST_WEIGHT = 0.25;
@@ -40,7 +43,7 @@
     private boolean shrunk;
     private long shrunkNanos;
 
-    /** Returns how many orders may be sent beside those in flight. */
+    /** Returns how many orders may be sent beside those made within {@link #TARGET_NANOS}. */
     int room(int inFlight) {
         return Math.max(0, (int) size - inFlight);
     }
--- a/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
@@ -167,9 +167,10 @@
         load = reportedLoad;
     }
 
-    /** Returns whether an order for the run has been sent that is not answered yet. */
-    boolean isOrderInFlight() {
-        return phase == Phase.STARTING || stopInFlight;
+    /** Returns whether a start or stop order made after the given time is not answered yet. */
+    boolean isAwaitingAnswer(long sinceNanos) {
+        return phase == Phase.STARTING && orderedNanos - sinceNanos > 0
+                || stopInFlight && stopSentNanos - sinceNanos > 0;
     }
 
     boolean isStopDue(long now, long retryNanos) {
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -244,7 +244,7 @@
     /** Returns the orders to send now. */
     public List<Order> plan(long now, Instant wall) {
         capacity.usableCores(batchCores(now), now);
-        int room = window.room(ordersInFlight());
+        int room = window.room(ordersInFlight(now));
         List<Order> orders = new ArrayList<>(stops.plan(now, room));
         orders.addAll(starts.plan(now, wall, room - orders.size()));
         window.setLimiting(orders.size() >= room);
@@ -252,11 +252,11 @@
         return orders;
     }
 
-    private int ordersInFlight() {
+    private int ordersInFlight(long now) {
         int count = 0;
         for (WorkerNode worker : pool.workers().values()) {
             for (Placement placement : worker.placements()) {
-                count += placement.isOrderInFlight() ? 1 : 0;
+                count += placement.isAwaitingAnswer(now - OrderWindow.TARGET_NANOS) ? 1 : 0;
             }
         }
         return count;
--- a/core/src/test/java/org/crocusgrade/core/schedule/PoolSchedulerTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/PoolSchedulerTest.java
@@ -332,6 +332,27 @@
         assertThat(pool.stops(), empty());
     }
 
+    @Test
+    void ordersToUnresponsiveWorkerDoNotHoldUpOthers() {
+        WorkerNode unresponsive = pool.worker("w1", "r1");
+        pool.submit(false, step(100, 1000));
+        List<Placement> lost = pool.starts();
+        assertThat(lost, not(empty()));
+        assertThat("the window is full", pool.starts(), empty());
+        WorkerNode healthy = pool.worker("w2", "r2");
+        unresponsive.setUsable(false);
+        pool.advance(Duration.ofMillis(300));
+        List<Placement> next = pool.starts();
+        assertThat(next, not(empty()));
+        assertThat(next.get(0).worker(), is(healthy));
+        lost.forEach(p -> pool.answer(p, StartAnswer.UNKNOWN));
+        pool.advance(Duration.ofMillis(300));
+        assertThat("stops of the lost runs", pool.stops(), not(empty()));
+        assertThat("the window is full", pool.starts(), empty());
+        pool.advance(Duration.ofMillis(300));
+        assertThat(pool.starts(), not(empty()));
+    }
+
     @Test
     void tasksStayOnEvacuatingWorkerWithoutRoomElsewhere() {
         WorkerNode leaving = pool.worker("w1", "r1");
