Use one piece of code for runs that begin and tasks that are over; pace before starts again

That a task needs no more runs was written in three places (now Task.isOver), the begin of a run in three (Placement.setRunning; an adopted run began twice), the caller's estimate in three, the slow fleet of OverloadedOwnerTest in two. A full window is noticed before a worker is chosen.

--- a/cli/src/main/java/org/crocusgrade/cli/PlatformAccess.java
+++ b/cli/src/main/java/org/crocusgrade/cli/PlatformAccess.java
@@ -5,7 +5,7 @@
 import java.net.InetSocketAddress;
 import org.crocusgrade.core.port.KeyValueStore;
 
-/** Network access of a command: the platform, and the pages of the daemons. */
+/** Network access of a command: the platform, and the HTTP endpoints of the daemons. */
 public interface PlatformAccess extends AutoCloseable {
     /** Returns the platform's address, for messages. */
     InetSocketAddress address();
--- a/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
@@ -104,11 +104,16 @@
         if (phase == Phase.UNCERTAIN && stopSent) {
             requireStop(stopReason, now);
         } else if (phase == Phase.STARTING || phase == Phase.UNCERTAIN) {
-            enter(Phase.RUNNING, now);
-            task.step().submission().setBegun();
+            setRunning(now);
         }
     }
 
+    /** Marks the run as active, which begins its submission. */
+    void setRunning(long now) {
+        enter(Phase.RUNNING, now);
+        task.step().submission().setBegun();
+    }
+
     /** Records that a report lacks the run, if it was requested after the start got no answer. */
     void setAbsent(long requestedNanos) {
         absentSinceUncertain |=
@@ -124,9 +129,7 @@
         if (phase != Phase.UNCERTAIN) {
             return phase == Phase.STOPPING;
         }
-        TrackedStep step = task.step();
-        boolean ended = task.isDone() || step.submission().outcome().isFinal();
-        return ended || absentSinceUncertain || !step.spec().longRunning();
+        return task.isOver() || absentSinceUncertain || !task.step().spec().longRunning();
     }
 
     /** Returns why the run is stopped; meaningful only while it is uncertain or to be stopped. */
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -202,10 +202,7 @@
             return;
         }
         switch (answer) {
-            case STARTED -> {
-                placement.enter(Phase.RUNNING, now);
-                placement.task().step().submission().setBegun();
-            }
+            case STARTED -> placement.setRunning(now);
             case UNKNOWN -> placement.setUncertain(now);
             case NO_TICKET -> {
                 placement.task().step().advice().removeTicket(placement.worker());
@@ -246,9 +243,11 @@
         capacity.usableCores(batchCores(now), now);
         int room = window.room(ordersInFlight(now));
         List<Order> orders = new ArrayList<>(stops.plan(now, room));
-        orders.addAll(starts.plan(now, wall, room - orders.size()));
-        window.setLimiting(orders.size() >= room);
+        int startRoom = room - orders.size();
         orders.addAll(pacer.plan(now));
+        List<Order> startOrders = starts.plan(now, wall, startRoom);
+        window.setLimiting(startOrders.size() >= startRoom);
+        orders.addAll(startOrders);
         return orders;
     }
 
--- a/core/src/main/java/org/crocusgrade/core/schedule/ReportProcessor.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/ReportProcessor.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.crocusgrade.core.schedule.Placement.Phase;
 import org.crocusgrade.core.submission.SubmissionState;
 import org.crocusgrade.core.submission.TaskEnd;
 import org.crocusgrade.core.submission.TaskId;
@@ -106,14 +105,11 @@
             observe(held.get(), reported, now);
             return true;
         }
-        boolean wanted = !task.isDone() && !task.step().submission().outcome().isFinal();
-        if (!wanted || !task.placements().isEmpty()) {
+        if (task.isOver() || !task.placements().isEmpty()) {
             return false;
         }
         Placement adopted = new Placement(task, worker, reported.run(), reported.checkpoint(), now);
-        adopted.enter(Phase.RUNNING, now);
         worker.add(adopted);
-        task.step().submission().setBegun();
         observe(adopted, reported, now);
         return true;
     }
--- a/core/src/main/java/org/crocusgrade/core/schedule/RunTimeModel.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/RunTimeModel.java
@@ -40,14 +40,18 @@
     public double predictMillis(QueueId queue, StepSpec step) {
         QueueStatistics statistics = queues.get(queue);
         if (statistics == null || statistics.runs < MIN_RUNS) {
-            return Math.max(1, step.estimate().toMillis());
+            return estimateMillis(step);
         }
         boolean meanIsBetter = statistics.meanError <= statistics.estimateError;
-        return meanIsBetter ? statistics.meanMillis : Math.max(1, step.estimate().toMillis());
+        return meanIsBetter ? statistics.meanMillis : estimateMillis(step);
+    }
+
+    private static double estimateMillis(StepSpec step) {
+        return Math.max(1, step.estimate().toMillis());
     }
 
     private static double logEstimate(StepSpec step) {
-        return Math.log(Math.max(1, step.estimate().toMillis()));
+        return Math.log(estimateMillis(step));
     }
 
     private static final class QueueStatistics {
--- a/core/src/main/java/org/crocusgrade/core/schedule/StartPlanner.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StartPlanner.java
@@ -110,8 +110,11 @@
             return placeGang(step, startable, now, orders);
         }
         for (Task task : startable) {
+            if (orders.size() >= room) {
+                return false;
+            }
             Optional<WorkerNode> worker = placer.choose(task, now);
-            if (worker.isEmpty() || orders.size() >= room) {
+            if (worker.isEmpty()) {
                 return false;
             }
             orders.add(place(task, worker.get(), pool.nextRun(task), now));
--- a/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
@@ -119,9 +119,7 @@
         if (placement.phase() != Phase.RUNNING) {
             return;
         }
-        Task task = placement.task();
-        boolean ended = task.isDone() || task.step().submission().outcome().isFinal();
-        if (ended) {
+        if (placement.task().isOver()) {
             placement.requireStop(StopReason.ENDED, now);
             return;
         }
--- a/core/src/main/java/org/crocusgrade/core/schedule/Task.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Task.java
@@ -48,6 +48,13 @@
         return failedRuns;
     }
 
+    /**
+     * Returns whether no run of the task is wanted any more: it is done, or its submission ended.
+     */
+    boolean isOver() {
+        return done || step.submission().outcome().isFinal();
+    }
+
     /** Returns the last checkpoint; empty if there is none. */
     public String checkpoint() {
         return checkpoint;
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/OverloadedOwnerTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/OverloadedOwnerTest.java
@@ -33,9 +33,7 @@
 
     @Test
     void surgeIsStartedOnceByAnOwnerWithLittleProcessorTime() {
-        SimFleet fleet = new SimFleet(1, false, WORKERS);
-        fleet.daemons.values().forEach(d -> d.orders.setCost(d.loop, PASS));
-        fleet.time.run(3000);
+        SimFleet fleet = slowFleet(WORKERS);
         for (int i = 0; i < SUBMISSIONS; i++) {
             fleet.submit(TASKS);
         }
@@ -47,9 +45,7 @@
 
     @Test
     void cancellationsAreAcknowledgedWhileTheOwnerHandlesASurge() {
-        SimFleet fleet = new SimFleet(1, false, 4 * WORKERS);
-        fleet.daemons.values().forEach(d -> d.orders.setCost(d.loop, PASS));
-        fleet.time.run(3000);
+        SimFleet fleet = slowFleet(4 * WORKERS);
         List<SubmissionId> ids = new ArrayList<>();
         for (int i = 0; i < 4 * SUBMISSIONS; i++) {
             ids.add(fleet.submit(TASKS));
@@ -64,4 +60,12 @@
         assertThat(outcomes, everyItem(is(SubmissionReply.Outcome.DONE)));
         assertThat(outcomes, hasSize(4 * SUBMISSIONS));
     }
+
+    /** Starts a fleet whose daemons use processor time for each call, and lets it settle. */
+    private static SimFleet slowFleet(int workers) {
+        SimFleet fleet = new SimFleet(1, false, workers);
+        fleet.daemons.values().forEach(d -> d.orders.setCost(d.loop, PASS));
+        fleet.time.run(3000);
+        return fleet;
+    }
 }
