--- a/core/src/test/java/org/crocusgrade/core/member/DutyRankTest.java
+++ b/core/src/test/java/org/crocusgrade/core/member/DutyRankTest.java
@@ -55,12 +55,15 @@
     @Test
     void ofRestartedDaemonsTheOneWithMostProcessorsComesFirst() {
         Instant restart = START.plusSeconds(100);
-        Map<DaemonId, Candidate> candidates =
-                Map.of(
-                        A, new Candidate(restart, 360),
-                        B, new Candidate(restart, 1500),
-                        C, new Candidate(START, 1500));
-        assertThat(order(candidates, List.of(), restart), contains(B, A, C));
+        Candidate small = new Candidate(restart, 360);
+        Candidate large = new Candidate(restart, 1500);
+        Candidate running = new Candidate(START, 1500);
+        assertThat(
+                order(Map.of(A, small, B, large, C, running), List.of(), restart),
+                contains(B, A, C));
+        assertThat(
+                order(Map.of(A, large, B, small, C, running), List.of(), restart),
+                contains(A, B, C));
     }
 
     /** Returns which of a and c rendezvous hashing ranks first when both count as many duties. */
