Let no report, request or confirmation be used after it has run out

Shown here by tests, each of which fails with its mend taken out:

- A holder of the fleet duty that was frozen while the store confirmed its duty sent its orders when it woke, beside its successor (found when frozen 1 to 20 ms before the first order of a wave).
A confirmation is now valid for 1 s, less than a successor waits before its first order.
- The monotonic clock stands still while a host is suspended, so the duty of a pool looked confirmed for as long as the host slept.
Ages of permissions are now the longer of both clocks (ClockReading).
- A former holder of the fleet duty could end the evacuation of a worker that its successor was about to move: requests now carry the fencing token and a sequence, and older ones are ignored.
- A former owner of a pool could report a worker as empty on which its successor runs tasks: reports carry the owner's token, and those below the latest known one are ignored.
- A report from before an evacuation was requested counted as proof that the worker stays empty: reports now return the request that they reflect.

Reports that waited to be read during a pause of the holder are dropped, and what an order requires of its host is checked again once the store has confirmed the duty. This last pair has no test of its own.

Ruled out: a successor that orders too early (it waits for the order spacing), and the pool's own orders (workers check their token).

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
@@ -121,6 +121,12 @@
         return owner == null || !owner.isLoaded() ? List.of() : owner.status().getWorkersList();
     }
 
+    /** Returns whether this daemon owns a pool and may extend the leases of the pool's runs now. */
+    boolean mayExtendLeases(ServiceId service) {
+        PoolOwner owner = owners.get(service);
+        return owner != null && owner.mayExtendLeases();
+    }
+
     /** Releases all duties, so that other daemons can claim them immediately. */
     public void leave() {
         if (duties != null) {
@@ -322,9 +328,7 @@
     public void onEvacuation(EvacuationMessage evacuation) {
         PoolOwner owner = owners.get(new ServiceId(evacuation.getService()));
         if (owner != null) {
-            Set<WorkerId> workers = new HashSet<>();
-            evacuation.getWorkersList().forEach(w -> workers.add(new WorkerId(w)));
-            owner.evacuate(workers);
+            owner.evacuate(evacuation);
         }
     }
 
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/DaemonLease.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/DaemonLease.java
@@ -3,6 +3,7 @@
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
 import java.util.Optional;
+import org.crocusgrade.core.port.ClockReading;
 import org.crocusgrade.core.port.LeaseId;
 import org.crocusgrade.core.port.StoreException;
 import org.crocusgrade.core.port.StoreTransaction;
@@ -32,7 +33,7 @@
     private final byte[] record;
     private final Runnable onEnded;
     private Optional<LeaseId> lease = Optional.empty();
-    private long confirmedNanos;
+    private Optional<ClockReading> confirmed = Optional.empty();
     private long registeredNanos;
     private boolean registered;
     private boolean stopped;
@@ -73,7 +74,8 @@
 
     /** Returns whether the store has confirmed the lease by a call made within the given time. */
     boolean isConfirmedWithin(Duration age) {
-        return lease.isPresent() && runtime.clock().nanoTime() - confirmedNanos <= age.toNanos();
+        return lease.isPresent()
+                && confirmed.filter(c -> c.isWithin(age, runtime.clock())).isPresent();
     }
 
     /** Removes the daemon from the list of daemons and stops renewing the lease. */
@@ -95,7 +97,7 @@
         if (stopped) {
             return;
         }
-        long requestedNanos = runtime.clock().nanoTime();
+        ClockReading requested = ClockReading.of(runtime.clock());
         Duration time =
                 TIME_TO_LIVE.compareTo(runtime.limits().minStoreLease()) > 0
                         ? TIME_TO_LIVE
@@ -107,7 +109,7 @@
                 .with(
                         l -> {
                             lease = Optional.of(l);
-                            confirm(requestedNanos);
+                            confirm(requested);
                             register(l);
                             runtime.after(RENEWAL_MILLIS, () -> renew(l));
                         },
@@ -148,12 +150,12 @@
             return;
         }
         runtime.after(RENEWAL_MILLIS, () -> renew(held));
-        long requestedNanos = runtime.clock().nanoTime();
+        ClockReading requested = ClockReading.of(runtime.clock());
         runtime.store()
                 .renewLease(held)
                 .emitOn(runtime.loop())
                 .subscribe()
-                .with(v -> confirm(requestedNanos), f -> onRenewalFailed(held, f));
+                .with(v -> confirm(requested), f -> onRenewalFailed(held, f));
     }
 
     private void onRenewalFailed(LeaseId held, Throwable failure) {
@@ -174,10 +176,12 @@
     /**
      * Records that a call to the store has confirmed the lease.
      *
-     * @param requestedNanos when the call was made; the lease counts as confirmed as of then
+     * @param requested when the call was made; the lease counts as confirmed as of then
      */
-    void confirm(long requestedNanos) {
-        confirmedNanos = Math.max(confirmedNanos, requestedNanos);
+    void confirm(ClockReading requested) {
+        if (confirmed.isEmpty() || requested.nanos() - confirmed.get().nanos() > 0) {
+            confirmed = Optional.of(requested);
+        }
         if (storeLost) {
             storeLost = false;
             runtime.log().log(Event.DEPENDENCY_REGAINED, "dependency", "store");
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyManager.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyManager.java
@@ -16,6 +16,7 @@
 import org.crocusgrade.core.id.DaemonId;
 import org.crocusgrade.core.member.DutyRank;
 import org.crocusgrade.core.misc.Addresses;
+import org.crocusgrade.core.port.ClockReading;
 import org.crocusgrade.core.port.CommitResult;
 import org.crocusgrade.core.port.KeyValueStore;
 import org.crocusgrade.core.port.StoreEntry;
@@ -115,6 +116,18 @@
         return Optional.ofNullable(holders.get(duty)).map(Holder::daemon);
     }
 
+    /**
+     * Returns the fencing token of a duty's latest known holder; 0 if this daemon knows of none.
+     */
+    long token(Duty duty) {
+        DutyOwnership own = ownerships.get(duty);
+        if (own != null) {
+            return own.token();
+        }
+        Holder holder = holders.get(duty);
+        return holder == null ? 0 : holder.revision;
+    }
+
     /** Returns the entries under {@link StoreKeys#COORDINATION}, by key. */
     Map<String, StoreEntry> entries() {
         return entries;
@@ -294,26 +307,26 @@
                         .put(key, holder, lease.id())
                         .put(termKey, term)
                         .build();
-        long requestedNanos = runtime.clock().nanoTime();
+        ClockReading requested = ClockReading.of(runtime.clock());
         runtime.store()
                 .commit(change)
                 .emitOn(runtime.loop())
                 .subscribe()
                 .with(
-                        r -> onClaimed(duty, r, requestedNanos, term),
+                        r -> onClaimed(duty, r, requested, term),
                         f -> {
                             lease.onCallFailed("claim " + duty, f);
                             runtime.after(RETRY_MILLIS, () -> claiming.remove(duty));
                         });
     }
 
-    private void onClaimed(Duty duty, CommitResult result, long requestedNanos, byte[] term) {
+    private void onClaimed(Duty duty, CommitResult result, ClockReading requested, byte[] term) {
         claiming.remove(duty);
         if (!result.applied()) {
             result.current().values().forEach(watcher::written);
             return;
         }
-        lease.confirm(requestedNanos);
+        lease.confirm(requested);
         watcher.written(new StoreEntry(StoreKeys.term(duty), result.revision(), term));
         acquire(duty, result.revision());
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetController.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetController.java
@@ -17,6 +17,7 @@
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.maintenance.HostView;
+import org.crocusgrade.core.port.ClockReading;
 import org.crocusgrade.core.port.CommitResult;
 import org.crocusgrade.core.port.FormatException;
 import org.crocusgrade.core.port.HostControl.Credentials;
@@ -44,20 +45,15 @@
     private static final long HOST_REFRESH_MILLIS = 500;
 
     /**
-     * Interval at which evacuation requests are repeated to the owners of pools, in milliseconds.
-     */
-    private static final long EVACUATION_REPEAT_MILLIS = 300;
-
-    /**
-     * Maximum age of an owner's report. A new owner starts nothing for longer than this, so that no
-     * host on which it starts runs is ordered because of a report of the former owner.
+     * How long after the end of its lease a request of the former holder may still be in transit.
      */
-    private static final Duration MAX_STATUS_AGE = Duration.ofMillis(350);
+    private static final Duration FORMER_ORDER_DELAY = Duration.ofMillis(500);
 
     /**
-     * How long after the end of its lease a request of the former holder may still be in transit.
+     * Maximum age of the store's confirmation of the duty when orders are sent. A successor sends
+     * its first order later than this after it has acquired the duty.
      */
-    private static final Duration FORMER_ORDER_DELAY = Duration.ofMillis(500);
+    private static final Duration MAX_CONFIRMATION_AGE = Duration.ofSeconds(1);
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final double NANOS_PER_SECOND = 1e9;
@@ -65,15 +61,13 @@
 
     private final BatchRuntime runtime;
     private final DaemonId self;
-    private final Consumer<EvacuationMessage> evacuations;
-    private final Map<ServiceId, PoolStatus> pools = new HashMap<>();
+    private final EvacuationRequests evacuations;
+    private final PoolReports reports;
     private final SurgeSequenceForecast forecast = new SurgeSequenceForecast();
     private final WaveRunner waves;
     private final HostMover mover;
     private Map<HostId, PooledHost> hosts = Map.of();
     private Set<ServiceId> standbyPools = Set.of();
-    private Set<HostId> evacuating = Set.of();
-    private final Set<ServiceId> notifiedPools = new HashSet<>();
     private final Map<HostId, Long> orderedNanos = new HashMap<>();
     private Optional<DutyOwnership> ownership = Optional.empty();
     private Set<HostId> orderedByFormer = Set.of();
@@ -82,15 +76,14 @@
     private long acquiredNanos;
     private long refreshStartedNanos;
     private long hostsReadNanos;
-    private long evacuationsSentNanos;
     private boolean refreshing;
     private boolean checking;
-    private long sequence;
 
     FleetController(BatchRuntime runtime, DaemonId self, Consumer<EvacuationMessage> evacuations) {
         this.runtime = runtime;
         this.self = self;
-        this.evacuations = evacuations;
+        this.evacuations = new EvacuationRequests(runtime.clock(), evacuations);
+        reports = new PoolReports(runtime.clock(), runtime.log());
         waves = new WaveRunner(runtime, this);
         mover = new HostMover(runtime, this, new PoolBalancer(forecast));
     }
@@ -101,6 +94,7 @@
         acquiredNanos = runtime.clock().nanoTime();
         hosts = Map.of();
         orderedNanos.clear();
+        evacuations.reset(acquired.token());
         restoreState(acquired, manager.entries().get(StoreKeys.FLEET_DUTY_STATE));
         waves.restore(manager.entries());
         mover.reset();
@@ -177,7 +171,6 @@
 
     void stop() {
         ownership = Optional.empty();
-        evacuating = Set.of();
     }
 
     void setStandbyPools(Set<ServiceId> pools) {
@@ -188,22 +181,23 @@
         waves.onOperatorEntries(entries, duties == null ? Map.of() : duties.entries());
     }
 
-    void onPoolStatus(PoolStatusMessage status) {
-        ServiceId pool = new ServiceId(status.getService());
-        pools.put(pool, new PoolStatus(status, runtime.clock().nanoTime()));
-        if (status.getWorkersList().stream().anyMatch(WorkerStatusMessage::getEvacuating)) {
-            notifiedPools.add(pool);
+    /** Processes a report of a pool's owner. */
+    void onPoolStatus(PoolStatusMessage report) {
+        Duty duty = Duty.pool(new ServiceId(report.getService()));
+        if (reports.onReport(report, duties == null ? 0 : duties.token(duty))) {
+            evacuations.onReport(report);
         }
     }
 
     void tick() {
+        reports.tick();
         if (ownership.isEmpty()) {
             return;
         }
         double now = seconds();
         boolean surgeStarted = false;
-        for (Map.Entry<ServiceId, PoolStatus> entry : pools.entrySet()) {
-            surgeStarted |= observe(entry.getKey(), entry.getValue(), now);
+        for (PoolStatusMessage report : reports.takeNew()) {
+            surgeStarted |= observe(report, now);
         }
         if (surgeStarted) {
             storeState();
@@ -214,23 +208,22 @@
         }
         Map<HostId, HostView> views = views();
         Map<ServiceId, Long> pressure = new HashMap<>();
-        pools.forEach((pool, s) -> pressure.put(pool, s.message.getWaitingMilliCores()));
+        for (PoolStatusMessage report : reports.all()) {
+            pressure.put(new ServiceId(report.getService()), report.getWaitingMilliCores());
+        }
         Set<HostId> evacuate = new HashSet<>();
-        List<Runnable> orders = new ArrayList<>();
+        List<FleetAction> orders = new ArrayList<>();
         waves.decide(views, hostsReadNanos, pressure, evacuate, orders);
         mover.decide(now, views, needs(), evacuate, orders);
-        sendEvacuations(evacuate);
+        evacuations.send(evacuate, hosts);
         executeOrders(orders);
     }
 
-    /** Passes a report to the forecast once; returns whether a surge has started. */
-    private boolean observe(ServiceId pool, PoolStatus status, double now) {
-        if (status.observed) {
-            return false;
-        }
-        status.observed = true;
-        double offered = status.message.getOfferedMilliCores() / MILLI;
-        int submissions = status.message.getOfferedSubmissions();
+    /** Passes a report to the forecast; returns whether a surge has started. */
+    private boolean observe(PoolStatusMessage report, double now) {
+        ServiceId pool = new ServiceId(report.getService());
+        double offered = report.getOfferedMilliCores() / MILLI;
+        int submissions = report.getOfferedSubmissions();
         if (!forecast.observe(pool, now, offered, submissions)) {
             return false;
         }
@@ -252,25 +245,19 @@
 
     private Map<ServiceId, PoolNeed> needs() {
         Map<ServiceId, PoolNeed> needs = new HashMap<>();
-        for (Map.Entry<ServiceId, PoolStatus> entry : pools.entrySet()) {
-            PoolStatusMessage message = entry.getValue().message;
-            if (isFresh(entry.getValue())) {
-                needs.put(
-                        entry.getKey(),
-                        new PoolNeed(
-                                entry.getKey(),
-                                message.getLongRunningMilliCores() / MILLI,
-                                message.getBatchMilliCores() / MILLI,
-                                message.getBacklogCoreMillis() / MILLI));
-            }
+        for (PoolStatusMessage report : reports.recent()) {
+            ServiceId pool = new ServiceId(report.getService());
+            needs.put(
+                    pool,
+                    new PoolNeed(
+                            pool,
+                            report.getLongRunningMilliCores() / MILLI,
+                            report.getBatchMilliCores() / MILLI,
+                            report.getBacklogCoreMillis() / MILLI));
         }
         return needs;
     }
 
-    private boolean isFresh(PoolStatus status) {
-        return runtime.clock().nanoTime() - status.receivedNanos <= MAX_STATUS_AGE.toNanos();
-    }
-
     private double seconds() {
         return runtime.clock().nanoTime() / NANOS_PER_SECOND;
     }
@@ -309,11 +296,12 @@
 
     private Map<HostId, HostView> views() {
         Map<WorkerId, WorkerStatusMessage> workerStatuses = new HashMap<>();
-        for (PoolStatus status : pools.values()) {
-            if (isFresh(status)) {
-                status.message
-                        .getWorkersList()
-                        .forEach(w -> workerStatuses.put(new WorkerId(w.getWorker()), w));
+        Map<WorkerId, PoolStatusMessage> sources = new HashMap<>();
+        for (PoolStatusMessage report : reports.recent()) {
+            for (WorkerStatusMessage worker : report.getWorkersList()) {
+                WorkerId id = new WorkerId(worker.getWorker());
+                workerStatuses.put(id, worker);
+                sources.put(id, report);
             }
         }
         Map<HostId, HostView> views = new HashMap<>();
@@ -332,7 +320,9 @@
                             host.capacity().milliCores(),
                             standbyPools.contains(host.pool()),
                             worker.isPresent(),
-                            worker.map(WorkerStatusMessage::getEvacuating).orElse(false),
+                            worker.map(WorkerStatusMessage::getEvacuating).orElse(false)
+                                    && evacuations.isReflectedBy(
+                                            sources.get(host.worker().get()), host.host()),
                             worker.map(WorkerStatusMessage::getRunning).orElse(0),
                             worker.map(WorkerStatusMessage::getLongRunning).orElse(0)));
         }
@@ -351,54 +341,15 @@
         return recentlyOrdered ? State.MOVING : host.state();
     }
 
-    // Evacuation requests.
-
-    /**
-     * Sends each owner the workers to evacuate. Owners that have been sent workers before, or that
-     * report evacuating ones, get a message even if it is empty, which ends evacuations that only a
-     * former holder requested.
-     */
-    private void sendEvacuations(Set<HostId> wanted) {
-        long now = runtime.clock().nanoTime();
-        boolean due = now - evacuationsSentNanos >= EVACUATION_REPEAT_MILLIS * NANOS_PER_MILLI;
-        if (wanted.equals(evacuating) && (!due || wanted.isEmpty() && notifiedPools.isEmpty())) {
-            return;
-        }
-        evacuating = Set.copyOf(wanted);
-        evacuationsSentNanos = now;
-        Map<ServiceId, EvacuationMessage.Builder> messages = new HashMap<>();
-        for (ServiceId pool : notifiedPools) {
-            messages.put(pool, message(pool));
-        }
-        for (HostId host : wanted) {
-            PooledHost pooled = hosts.get(host);
-            if (pooled != null && pooled.worker().isPresent()) {
-                messages.computeIfAbsent(pooled.pool(), this::message)
-                        .addWorkers(pooled.worker().get().value());
-            }
-        }
-        messages.values().forEach(m -> evacuations.accept(m.build()));
-        notifiedPools.clear();
-        messages.forEach(
-                (pool, m) -> {
-                    if (m.getWorkersCount() > 0) {
-                        notifiedPools.add(pool);
-                    }
-                });
-    }
-
-    private EvacuationMessage.Builder message(ServiceId pool) {
-        return EvacuationMessage.newBuilder().setService(pool.value()).setSequence(++sequence);
-    }
-
     // Orders.
 
     /** Sends orders once the store has confirmed that the duty is still held. */
-    private void executeOrders(List<Runnable> orders) {
+    private void executeOrders(List<FleetAction> orders) {
         if (orders.isEmpty() || checking) {
             return;
         }
         DutyOwnership held = ownership.orElseThrow();
+        ClockReading requested = ClockReading.of(runtime.clock());
         checking = true;
         runtime.store()
                 .get(held.key())
@@ -409,7 +360,7 @@
                             checking = false;
                             boolean stillHeld = e.isPresent() && e.get().revision() == held.token();
                             if (stillHeld && ownership.equals(Optional.of(held))) {
-                                orders.forEach(runtime::guard);
+                                executeConfirmed(orders, requested);
                             } else if (!stillHeld) {
                                 duties.relinquish(held.duty(), "store shows another holder");
                             }
@@ -425,6 +376,28 @@
                         });
     }
 
+    /**
+     * Sends orders, unless the confirmation of the duty is outdated because this process was paused
+     * meanwhile. Orders that are left out are decided anew by the next tick.
+     */
+    private void executeConfirmed(List<FleetAction> orders, ClockReading requested) {
+        if (!requested.isWithin(MAX_CONFIRMATION_AGE, runtime.clock())) {
+            runtime.log().log(
+                    Event.ORDERS_DROPPED,
+                    "orders",
+                    orders.size(),
+                    "confirmation-age-ms",
+                    requested.age(runtime.clock()).toMillis());
+            return;
+        }
+        Map<HostId, HostView> views = views();
+        for (FleetAction order : orders) {
+            if (order.isAllowed(views)) {
+                runtime.guard(order.step());
+            }
+        }
+    }
+
     /**
      * Returns whether the former holder sends no more orders to hosts: there was none, it released
      * the duty with no order open, or its lease has expired and the platform's order spacing has
@@ -466,16 +439,4 @@
         }
         return result.applied();
     }
-
-    /** The latest report of a pool's owner. */
-    private static final class PoolStatus {
-        private final PoolStatusMessage message;
-        private final long receivedNanos;
-        private boolean observed;
-
-        PoolStatus(PoolStatusMessage message, long receivedNanos) {
-            this.message = message;
-            this.receivedNanos = receivedNanos;
-        }
-    }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/HostMover.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/HostMover.java
@@ -56,7 +56,7 @@
             Map<HostId, HostView> views,
             Map<ServiceId, PoolNeed> needs,
             Set<HostId> evacuate,
-            List<Runnable> orders) {
+            List<FleetAction> orders) {
         removeFinished(views, evacuate);
         List<HostView> free = new ArrayList<>();
         for (HostView view : views.values()) {
@@ -82,7 +82,8 @@
                 evacuate.add(entry.getKey());
             }
             if (view.isEmpty() && !ordering.contains(entry.getKey())) {
-                orders.add(() -> move(view, entry.getValue().to));
+                ServiceId to = entry.getValue().to;
+                orders.add(FleetAction.onEmptyHost(view.host(), () -> move(view, to)));
             }
         }
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -26,6 +27,7 @@
 import org.crocusgrade.core.submission.TaskId;
 import org.crocusgrade.daemon.batch.SubmissionReply.Outcome;
 import org.crocusgrade.daemon.log.Event;
+import org.crocusgrade.peer.proto.EvacuationMessage;
 import org.crocusgrade.peer.proto.PoolStatusMessage;
 
 /**
@@ -75,6 +77,7 @@
     private boolean planScheduled;
     private boolean stopped;
     private long statusSequence;
+    private EvacuationMessage evacuation = EvacuationMessage.getDefaultInstance();
 
     PoolOwner(
             BatchRuntime runtime,
@@ -146,6 +149,9 @@
                 PoolStatusMessage.newBuilder()
                         .setService(service.value())
                         .setSequence(++statusSequence)
+                        .setToken(ownership.token())
+                        .setEvacuationToken(evacuation.getToken())
+                        .setEvacuationSequence(evacuation.getSequence())
                         .setWaitingMilliCores(waiting)
                         .setBatchMilliCores(scheduler.batchMilliCores() + waiting)
                         .setLongRunningMilliCores(scheduler.longRunningMilliCores())
@@ -173,8 +179,32 @@
         }
     }
 
-    /** Sets the workers to evacuate; workers missing from the set accept runs again. */
-    void evacuate(Set<WorkerId> workers) {
+    /**
+     * Applies a request of the holder of the fleet duty, unless a newer one was applied: a former
+     * holder may not know yet that it has been replaced. Workers that the request does not name
+     * accept runs again.
+     */
+    void evacuate(EvacuationMessage request) {
+        boolean outdated =
+                request.getToken() < evacuation.getToken()
+                        || request.getToken() == evacuation.getToken()
+                                && request.getSequence() < evacuation.getSequence();
+        if (outdated) {
+            runtime.log().log(
+                    Event.REPORT_IGNORED,
+                    "pool",
+                    service,
+                    "what",
+                    "evacuation",
+                    "token",
+                    request.getToken(),
+                    "latest-token",
+                    evacuation.getToken());
+            return;
+        }
+        evacuation = request;
+        Set<WorkerId> workers = new HashSet<>();
+        request.getWorkersList().forEach(w -> workers.add(new WorkerId(w)));
         poolWorkers.evacuate(workers);
         schedulePlan();
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WaveRunner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WaveRunner.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -80,7 +81,7 @@
             long hostsReadNanos,
             Map<ServiceId, Long> pressure,
             Set<HostId> evacuate,
-            List<Runnable> orders) {
+            List<FleetAction> orders) {
         orderedNanos.values().removeIf(ordered -> hostsReadNanos - ordered > 0);
         Set<HostId> unconfirmed = new HashSet<>(ordering);
         unconfirmed.addAll(orderedNanos.keySet());
@@ -97,7 +98,7 @@
             Set<HostId> unconfirmed,
             Map<ServiceId, Long> pressure,
             Set<HostId> evacuate,
-            List<Runnable> orders) {
+            List<FleetAction> orders) {
         long elapsed = runtime.clock().nanoTime() - wave.firstSeenNanos;
         Duration remaining = wave.request.within().minusNanos(elapsed);
         WaveSchedule.Decision decision =
@@ -105,15 +106,17 @@
                         wave.request, remaining, views, wave.done, unconfirmed, pressure);
         evacuate.addAll(decision.evacuate());
         if (decision.complete()) {
-            orders.add(() -> writeStatus(wave, true));
+            orders.add(FleetAction.withoutHost(() -> writeStatus(wave, true)));
             return;
         }
         if (!wave.statusWritten) {
-            orders.add(() -> writeStatus(wave, false));
+            orders.add(FleetAction.withoutHost(() -> writeStatus(wave, false)));
         }
         for (HostId host : decision.maintain()) {
             if (!ordering.contains(host)) {
-                orders.add(() -> maintain(wave, host));
+                boolean interrupts = !views.get(host).isEmpty();
+                orders.add(
+                        new FleetAction(Optional.of(host), interrupts, () -> maintain(wave, host)));
             }
         }
     }
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FleetHandOverTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FleetHandOverTest.java
@@ -14,6 +14,7 @@
 import org.crocusgrade.core.id.DaemonId;
 import org.crocusgrade.daemon.batch.SimHosts.HostOrder;
 import org.crocusgrade.peer.proto.EvacuationMessage;
+import org.crocusgrade.peer.proto.PoolStatusMessage;
 import org.crocusgrade.peer.proto.WorkerStatusMessage;
 import org.junit.jupiter.api.Test;
 
@@ -107,6 +108,125 @@
         assertThat(fleet.checks.violations(), empty());
     }
 
+    /**
+     * The holder is frozen while the store confirms its duty, and reads the confirmation when
+     * another daemon has held the duty for seconds.
+     */
+    @Test
+    void anOutdatedConfirmationOfTheDutyAllowsNoOrder() {
+        fleet.requestWave(1);
+        while (fleet.hosts.orders().isEmpty()) {
+            fleet.time.run(1);
+        }
+        long firstOrder = fleet.time.millis();
+        for (long before = 1; before <= 20; before++) {
+            SimFleet frozen = new SimFleet(1);
+            frozen.requestWave(1);
+            frozen.time.run(firstOrder - before - frozen.time.millis());
+            frozen.holder(Duty.FLEET).loop.freeze(7000);
+            frozen.time.run(30_000);
+            assertThat(before + " ms before", frozen.checks.violations(), empty());
+            assertThat(frozen.hosts.maintained(), hasSize(frozen.workers.size()));
+        }
+    }
+
+    /**
+     * A host that is suspended does not count the time on its monotonic clock: after that, the
+     * confirmation of a pool's duty looks recent although another daemon holds the duty.
+     */
+    @Test
+    void aSuspendedOwnerExtendsNoLeases() {
+        SimFleet.Daemon owner = fleet.holder();
+        assertThat(owner.node.mayExtendLeases(SimFleet.SERVICE), is(true));
+        fleet.store.setDown(true);
+        fleet.time.suspend(6000);
+        assertThat(owner.node.mayExtendLeases(SimFleet.SERVICE), is(false));
+    }
+
+    @Test
+    void aFormerHoldersEvacuationIsIgnored() {
+        fleet.requestWave(1);
+        while (fleet.hosts.orders().isEmpty()) {
+            fleet.time.run(10);
+        }
+        SimFleet.Daemon owner = fleet.holder();
+        long before = evacuating(owner);
+        assertThat(before, greaterThan(0L));
+        EvacuationMessage former =
+                EvacuationMessage.newBuilder()
+                        .setService(SimFleet.SERVICE.value())
+                        .setToken(1)
+                        .setSequence(1_000_000)
+                        .build();
+        owner.loop.execute(() -> owner.node.onEvacuation(former));
+        fleet.time.run(1);
+        assertThat(evacuating(owner), is(before));
+    }
+
+    /**
+     * The former owner of a pool still reports that a host is empty, while its successor runs tasks
+     * on that host.
+     */
+    @Test
+    void aFormerOwnersReportAllowsNoOrder() {
+        fleet.submit(120);
+        fleet.time.run(100);
+        SimFleet.Daemon holder = fleet.holder(Duty.FLEET);
+        fleet.requestWave(1);
+        long fleetToken = fleet.store.read(StoreKeys.holder(Duty.FLEET)).orElseThrow().revision();
+        PoolStatusMessage.Builder former =
+                PoolStatusMessage.newBuilder()
+                        .setService(SimFleet.SERVICE.value())
+                        .setToken(1)
+                        .setSequence(1_000_000)
+                        .setEvacuationToken(fleetToken)
+                        .setEvacuationSequence(Long.MAX_VALUE);
+        fleet.workers
+                .keySet()
+                .forEach(
+                        w ->
+                                former.addWorkers(
+                                        WorkerStatusMessage.newBuilder()
+                                                .setWorker(w.value())
+                                                .setEvacuating(true)));
+        for (int i = 0; i < 3000; i++) {
+            holder.loop.execute(() -> holder.node.onPoolStatus(holder.name, former.build()));
+            fleet.time.run(1);
+        }
+        assertThat(fleet.checks.violations(), empty());
+    }
+
+    /**
+     * An evacuation that has ended and begins again counts only once the owner has received the new
+     * request: it may have started tasks in between.
+     */
+    @Test
+    void aReportFromBeforeTheRequestIsNoProofThatAWorkerStaysEmpty() {
+        SimFleet.Daemon holder = fleet.holder(Duty.FLEET);
+        fleet.submit(120);
+        fleet.time.run(500);
+        fleet.requestWave(1);
+        PoolStatusMessage.Builder early =
+                PoolStatusMessage.newBuilder()
+                        .setService(SimFleet.SERVICE.value())
+                        .setToken(Long.MAX_VALUE)
+                        .setSequence(1_000_000);
+        fleet.workers
+                .keySet()
+                .forEach(
+                        w ->
+                                early.addWorkers(
+                                        WorkerStatusMessage.newBuilder()
+                                                .setWorker(w.value())
+                                                .setEvacuating(true)));
+        for (int i = 0; i < 600; i++) {
+            PoolStatusMessage status = early.setSequence(1_000_000 + i).build();
+            holder.loop.execute(() -> holder.node.onPoolStatus(holder.name, status));
+            fleet.time.run(5);
+        }
+        assertThat(fleet.hosts.orders(), empty());
+    }
+
     /**
      * Runs until the first host was ordered, then ends the holder of the fleet duty in the given
      * way; returns that order.
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimHosts.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimHosts.java
@@ -106,6 +106,9 @@
                 && order.millis - previous.millis < ORDER_SPACING_MILLIS) {
             checks.addViolation("two holders order " + host + " within the order spacing");
         }
+        if (previous != null && order.token < previous.token) {
+            checks.addViolation("a former holder orders " + host + " after its successor");
+        }
         if (maintained.contains(host)) {
             return Outcome.DONE;
         }
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimTime.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimTime.java
@@ -14,10 +14,16 @@
     private final PriorityQueue<Step> steps = new PriorityQueue<>();
     private long now = 1_000_000_000L;
     private long sequence;
+    private long suspendedNanos;
 
     @Override
     public Instant now() {
-        return ORIGIN.plusNanos(now);
+        return ORIGIN.plusNanos(now + suspendedNanos);
+    }
+
+    /** Suspends all hosts: the wall clock advances, the monotonic clock does not. */
+    void suspend(long millis) {
+        suspendedNanos += millis * 1_000_000;
     }
 
     @Override
