Keep a host evacuated while an unanswered order may still move it

Cause: a move was abandoned 3.5 s after its decision, also when an order had been sent and not answered. The owner then placed tasks on the host, which the platform could still move, ending them. The host now stays evacuated until 6 s after the last order without an answer, or until an order is answered with done.

HostMoverTest fails before: the host is released after 4 s. Left: a maintenance order without an answer; its host is usually chosen again, as an empty one goes first, but nothing keeps it evacuated.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/HostMover.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/HostMover.java
@@ -21,6 +21,12 @@
     /** How long a host may take to become empty before its move is abandoned. */
     private static final Duration EVACUATION_TIMEOUT = Duration.ofMillis(3500);
 
+    /**
+     * How long an order without an answer may still be carried out. Until then the host stays
+     * evacuated, since its tasks would end with the move.
+     */
+    private static final Duration MAX_ORDER_DELAY = Duration.ofMillis(6000);
+
     /** How long at most a moved host counts as in transit. */
     private static final Duration ARRIVAL_TIMEOUT = Duration.ofMillis(6000);
 
@@ -31,6 +37,9 @@
     private final Map<HostId, Transfer> arriving = new HashMap<>();
     private final Set<HostId> ordering = new HashSet<>();
 
+    /** When the last order for a host failed without an answer, in nanoseconds. */
+    private final Map<HostId, Long> unanswered = new HashMap<>();
+
     HostMover(BatchRuntime runtime, FleetAuthority authority, PoolBalancer balancer) {
         this.runtime = runtime;
         this.authority = authority;
@@ -41,6 +50,7 @@
         leaving.clear();
         arriving.clear();
         ordering.clear();
+        unanswered.clear();
     }
 
     boolean hasOpenOrders() {
@@ -90,15 +100,18 @@
 
     private void removeFinished(Map<HostId, HostView> views, Set<HostId> evacuate) {
         long now = runtime.clock().nanoTime();
+        unanswered.values().removeIf(since -> now - since > MAX_ORDER_DELAY.toNanos());
         leaving.entrySet()
                 .removeIf(
                         e -> {
                             HostView view = views.get(e.getKey());
-                            boolean gone = view == null || view.state() != State.UP;
+                            if (view == null || view.state() != State.UP) {
+                                return true;
+                            }
                             long waited = now - e.getValue().sinceNanos;
-                            return gone
-                                    || evacuate.contains(e.getKey())
-                                    || waited > EVACUATION_TIMEOUT.toNanos();
+                            return !mayBeOrdered(e.getKey())
+                                    && (evacuate.contains(e.getKey())
+                                            || waited > EVACUATION_TIMEOUT.toNanos());
                         });
         arriving.entrySet()
                 .removeIf(
@@ -114,6 +127,11 @@
                         });
     }
 
+    /** Returns whether an order for a host may still be carried out. */
+    private boolean mayBeOrdered(HostId host) {
+        return ordering.contains(host) || unanswered.containsKey(host);
+    }
+
     private void move(HostView host, ServiceId to) {
         if (!leaving.containsKey(host.host()) || !ordering.add(host.host())) {
             return;
@@ -126,13 +144,19 @@
                         o -> onMoved(host, to, o),
                         f -> {
                             ordering.remove(host.host());
+                            unanswered.put(host.host(), runtime.clock().nanoTime());
                             logRefused(host.host(), to, "none: " + f.getMessage());
                         });
     }
 
     private void onMoved(HostView host, ServiceId to, Outcome outcome) {
         ordering.remove(host.host());
+        if (outcome != Outcome.DONE && unanswered.containsKey(host.host())) {
+            logRefused(host.host(), to, outcome.name());
+            return;
+        }
         leaving.remove(host.host());
+        unanswered.remove(host.host());
         if (outcome != Outcome.DONE) {
             logRefused(host.host(), to, outcome.name());
             return;
