Show new workers to the owner of their pool sooner, and decode only what changed

Cause: the list of workers is watched with a pause of 600 ms between calls, so a host that has moved for 1.5 s stood idle for up to 0.6 s more while tasks waited. The pause was long because each change decoded the entries of all workers; now an entry is decoded once for each of its revisions, and the pause is 150 ms.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerRegistry.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerRegistry.java
@@ -1,12 +1,11 @@
 package org.crocusgrade.daemon.batch;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.crocusgrade.core.id.WorkerId;
@@ -22,13 +21,16 @@
  * changes.
  */
 final class WorkerRegistry {
-    /** Pause between watches: a small part of the time that remains to a draining worker. */
-    private static final Duration WATCH_PAUSE = Duration.ofMillis(600);
+    /**
+     * Pause between watches. A worker that joins takes tasks only once the watch has shown it, so
+     * the pause is short compared with the time that a host takes to move.
+     */
+    private static final Duration WATCH_PAUSE = Duration.ofMillis(150);
 
     private final BatchRuntime runtime;
     private final PrefixWatcher watcher;
     private final Runnable onChange;
-    private final Map<String, Long> unreadable = new HashMap<>();
+    private Map<String, Registration> registrations = Map.of();
     private Map<WorkerId, WorkerEntry> workers = Map.of();
     private boolean watching;
 
@@ -73,23 +75,36 @@
                         onFailure);
     }
 
+    /** Decodes the entries that have changed; the others are kept as decoded before. */
     private void onEntries(Collection<StoreEntry> entries) {
         Map<WorkerId, WorkerEntry> found = new TreeMap<>();
-        List<StoreEntry> unparsable = new ArrayList<>();
+        Map<String, Registration> current = new HashMap<>();
         for (StoreEntry entry : entries) {
-            try {
-                WorkerEntry worker = runtime.format().worker(entry);
-                found.put(worker.worker(), worker);
-            } catch (FormatException e) {
-                unparsable.add(entry);
-                if (!Long.valueOf(entry.revision()).equals(unreadable.get(entry.key()))) {
-                    runtime.log().log(Event.RECORD_UNREADABLE, "key", entry.key(), "cause", e);
-                }
-            }
+            Registration known = registrations.get(entry.key());
+            boolean unchanged = known != null && known.revision == entry.revision();
+            Registration registration = unchanged ? known : decode(entry);
+            current.put(entry.key(), registration);
+            registration.worker.ifPresent(w -> found.put(w.worker(), w));
         }
-        unreadable.clear();
-        unparsable.forEach(e -> unreadable.put(e.key(), e.revision()));
+        registrations = current;
         workers = Collections.unmodifiableMap(found);
         onChange.run();
     }
+
+    private Registration decode(StoreEntry entry) {
+        try {
+            return new Registration(entry.revision(), Optional.of(runtime.format().worker(entry)));
+        } catch (FormatException e) {
+            runtime.log().log(Event.RECORD_UNREADABLE, "key", entry.key(), "cause", e);
+            return new Registration(entry.revision(), Optional.empty());
+        }
+    }
+
+    /**
+     * A decoded entry.
+     *
+     * @param revision the revision of the entry
+     * @param worker the worker; empty if the entry cannot be read
+     */
+    private record Registration(long revision, Optional<WorkerEntry> worker) {}
 }
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
@@ -73,9 +73,7 @@
         random = new Random(seed);
         store = new SimStore(time, random);
         for (int i = 0; i < workerCount; i++) {
-            SimWorker worker = new SimWorker("w" + i, time, checks, TASK_MILLIS, advised);
-            workers.put(worker.id, worker);
-            register(worker);
+            join("w" + i);
         }
         store.write("op/config", new byte[] {1});
         for (int i = 0; i < DAEMONS; i++) {
@@ -89,6 +87,14 @@
         logger.atInfo().log("ts=%s %s", time.now(), text);
     }
 
+    /** Starts a new worker, which registers. */
+    SimWorker join(String name) {
+        SimWorker worker = new SimWorker(name, time, checks, TASK_MILLIS, advised);
+        workers.put(worker.id, worker);
+        register(worker);
+        return worker;
+    }
+
     void register(SimWorker worker) {
         byte[] startedEpochMillis =
                 Long.toString(worker.startedEpochMillis()).getBytes(StandardCharsets.UTF_8);
