Refuse submissions that their pool's owner could not bear

Looked for: one malformed message that takes a process down. A submission with a count of two billion tasks, or as many occurrences, was accepted and stored, and the owner created an object for each task: out of memory, and so did each successor that loaded the record. An interval that overflows failed in each planning round, which stopped the pool. Negative amounts raised the capacity that counted as free.

Such submissions are now refused as malformed, with the reason: at most 20,000 tasks in all occurrences, a last due time that can be represented, no negative amount or time.

Ruled out: fields of a wrong type and bytes that are not JSON (refused before).

--- a/core/src/main/java/org/crocusgrade/core/submission/Recurrence.java
+++ b/core/src/main/java/org/crocusgrade/core/submission/Recurrence.java
@@ -1,5 +1,6 @@
 package org.crocusgrade.core.submission;
 
+import java.time.DateTimeException;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Objects;
@@ -19,9 +20,18 @@
         if (times <= 0 || interval.isNegative()) {
             throw new IllegalArgumentException("a recurrence needs times and an interval");
         }
+        try {
+            due(first, interval, times - 1);
+        } catch (ArithmeticException | DateTimeException e) {
+            throw new IllegalArgumentException("the last occurrence is due too late", e);
+        }
     }
 
     public Instant due(int occurrence) {
+        return due(first, interval, occurrence);
+    }
+
+    private static Instant due(Instant first, Duration interval, int occurrence) {
         return first.plus(interval.multipliedBy(occurrence));
     }
 }
--- a/core/src/main/java/org/crocusgrade/core/submission/StepSpec.java
+++ b/core/src/main/java/org/crocusgrade/core/submission/StepSpec.java
@@ -55,6 +55,12 @@
         if (tasks <= 0 || maxPerWorker < 0 || maxUnavailable < 0) {
             throw new IllegalArgumentException("a step needs tasks, and limits of 0 or more");
         }
+        if (demand.milliCores() < 0 || demand.memoryMb() < 0 || demand.accelerators() < 0) {
+            throw new IllegalArgumentException("a task cannot need less than nothing: " + demand);
+        }
+        if (estimate.isNegative() || latencyTarget.filter(Duration::isNegative).isPresent()) {
+            throw new IllegalArgumentException("a run time or a latency target is negative");
+        }
     }
 
     /** Returns what a task reserves of its worker's capacity. */
--- a/core/src/main/java/org/crocusgrade/core/submission/SubmissionSpec.java
+++ b/core/src/main/java/org/crocusgrade/core/submission/SubmissionSpec.java
@@ -13,7 +13,16 @@
  */
 public record SubmissionSpec(
         String payload, List<StepSpec> steps, Optional<Recurrence> recurrence) {
-    /** Copies the list and checks that each step depends only on earlier ones. */
+    /**
+     * Maximum number of tasks in all occurrences. The owner of the pool keeps some hundred bytes
+     * for each, in a heap of 128 MB, and its successor loads them again.
+     */
+    public static final int MAX_TASKS = 20_000;
+
+    /**
+     * Copies the list, and checks that each step depends only on earlier ones and that there are
+     * not too many tasks.
+     */
     public SubmissionSpec {
         Objects.requireNonNull(payload);
         Objects.requireNonNull(recurrence);
@@ -21,6 +30,11 @@
         if (steps.isEmpty()) {
             throw new IllegalArgumentException("a submission needs a step");
         }
+        long tasks = steps.stream().mapToLong(StepSpec::tasks).sum();
+        long total = tasks * recurrence.map(Recurrence::times).orElse(1);
+        if (total > MAX_TASKS) {
+            throw new IllegalArgumentException(total + " tasks, at most " + MAX_TASKS);
+        }
         for (int i = 0; i < steps.size(); i++) {
             for (int before : steps.get(i).after()) {
                 if (before < 0 || before >= i) {
