Let the next holder of the fleet's duty order hosts as soon as it has the duty

Cause: hosts do not check fencing tokens, so after a failure of the holder its successor ordered nothing until the lease and the order spacing had passed, 3.5 s, although few hosts can have an order open.

A holder now names the hosts that it is about to order in the transaction that confirms its duty, in place of a read; its successor leaves only those alone.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetDutyState.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetDutyState.java
@@ -20,7 +20,7 @@
  *
  * @param term the term of the holder that wrote it
  * @param handedBack whether that holder released the duty with no order open
- * @param orderedHosts hosts that it had ordered shortly before
+ * @param orderedHosts hosts that it had ordered shortly before, or was about to order
  * @param written when it was written, by the clock of the writer
  * @param surges what the writer had observed of the surges of the pools
  */
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/StoreKeys.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/StoreKeys.java
@@ -7,7 +7,7 @@
 final class StoreKeys {
     /**
      * Prefix of the entries that every daemon watches: the daemons, the holders and terms of
-     * duties, the progress of waves, and the state of the fleet duty.
+     * duties, and the progress of waves.
      */
     static final String COORDINATION = "crocus/";
 
@@ -16,8 +16,11 @@
     static final String TERMS = COORDINATION + "term/";
     static final String WAVES = COORDINATION + "wave/";
 
-    /** State that the holder of the fleet duty stores for the next one. */
-    static final String FLEET_DUTY_STATE = COORDINATION + "fleet";
+    /**
+     * State that the holder of the fleet duty stores for the next one. It is written often, and no
+     * daemon watches it.
+     */
+    static final String FLEET_DUTY_STATE = "fleet-duty";
 
     static final String PEER_KEY = "peer-key";
     static final String SUBMISSIONS = "sub/";
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WaveRunner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WaveRunner.java
@@ -75,10 +75,12 @@
      * Adds the hosts to evacuate and the orders to send.
      *
      * @param hostsReadNanos when the host list was requested
+     * @param orderedByFormer hosts whose maintenance a former holder may have ordered just now
      */
     void decide(
             Map<HostId, HostView> views,
             long hostsReadNanos,
+            Set<HostId> orderedByFormer,
             Map<ServiceId, Long> pressure,
             Set<HostId> evacuate,
             List<FleetAction> orders) {
@@ -87,7 +89,10 @@
         unconfirmed.addAll(orderedNanos.keySet());
         for (Wave wave : waves.values()) {
             if (!wave.closed) {
-                decide(wave, views, unconfirmed, pressure, evacuate, orders);
+                Set<HostId> mayBegin = new HashSet<>(orderedByFormer);
+                mayBegin.removeAll(wave.done);
+                mayBegin.addAll(unconfirmed);
+                decide(wave, views, mayBegin, pressure, evacuate, orders);
             }
         }
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/log/Event.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/log/Event.java
@@ -72,11 +72,11 @@
     /** An order for a host was refused. */
     HOST_REFUSED(322, Level.WARNING),
     /** A report or request of a daemon that no longer holds its duty was ignored. */
-    REPORT_IGNORED(324, Level.WARNING),
+    REPORT_IGNORED(327, Level.WARNING),
     /** Orders for hosts were not sent, because the confirmation of the duty was outdated. */
-    ORDERS_DROPPED(325, Level.WARNING),
+    ORDERS_DROPPED(328, Level.WARNING),
     /** The process made no progress for a while, so what it knew of others is outdated. */
-    PROCESS_PAUSED(326, Level.WARNING),
+    PROCESS_PAUSED(329, Level.WARNING),
     /** The state of a wave was written. */
     WAVE_STATUS(323, Level.INFO),
     /** A read or write of the platform's store failed. */
