Keep a fleet duty that was acquired again when an old write is answered

Found by reading: the answer to a write of an earlier ownership shows another token, which ended the present ownership of the same daemon. Its token then counted as lost, so the daemon did not take the duty up again while the store named it as the holder, and no host was moved or maintained. It takes an answer that comes later than the loss and the new claim; the simulated store has none that is as late, so there is no test.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetController.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetController.java
@@ -344,7 +344,7 @@
                         executeConfirmed(orders, requested);
                     }
                 },
-                () -> duties.relinquish(held.duty(), "store shows another holder"));
+                () -> relinquish(held));
     }
 
     /**
@@ -405,8 +405,18 @@
     @Override
     public boolean isConfirmedBy(DutyOwnership held, CommitResult result) {
         if (!result.applied()) {
-            duties.relinquish(held.duty(), "store shows another holder");
+            relinquish(held);
         }
         return result.applied();
     }
+
+    /**
+     * Ends an ownership that the store no longer shows. The answer may come when this daemon has
+     * acquired the duty again, which it then keeps.
+     */
+    private void relinquish(DutyOwnership lost) {
+        if (ownership.equals(Optional.of(lost))) {
+            duties.relinquish(lost.duty(), "store shows another holder");
+        }
+    }
 }
