Ask callers to wait longer, the longer the store has been down

They are now asked to wait half as long as the outage has lasted, from 1 to 5 s.

StoreCircuitBreakerTest replays callers with four retries in outages of 1 to 5 s: each is accepted; with a fixed second the first ones are not. Ruled out: the whole age of the outage, after which those who come late in it return too late.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolRequests.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolRequests.java
@@ -146,7 +146,7 @@
                     yield SubmissionReply.of(Outcome.NOT_OWNER, "handed over");
                 }
                 log(Event.SUBMISSION_REFUSED, id, "store unavailable");
-                yield SubmissionReply.refused(SubmissionReply.DEFAULT_RETRY, "store unavailable");
+                yield SubmissionReply.refused(writer.retryAfter(), "store unavailable");
             }
             case UNKNOWN -> SubmissionReply.of(Outcome.NO_ANSWER, "store gave no answer");
         };
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordWriter.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordWriter.java
@@ -132,6 +132,11 @@
         return overdue || breaker.isOpen();
     }
 
+    /** Returns when a caller that is refused because of the store should retry. */
+    Duration retryAfter() {
+        return breaker.retryAfter(runtime.clock().nanoTime());
+    }
+
     private void refuseUnsent() {
         List<Creation> unsent = new ArrayList<>();
         creations.removeIf(c -> !c.attempted && unsent.add(c));
