--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FleetDutyRecordTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FleetDutyRecordTest.java
@@ -6,13 +6,11 @@
 
 import java.time.Instant;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.crocusgrade.core.fleet.plan.SurgeSequenceSnapshot;
 import org.crocusgrade.core.id.HostId;
-import org.crocusgrade.daemon.log.EventLog;
 import org.junit.jupiter.api.Test;
 
 /** Checks that writes which the store applies late replace no newer record. */
@@ -30,7 +28,8 @@
             store.write("holder", new byte[] {1});
             long token = store.read("holder").orElseThrow().revision();
             DutyOwnership held = new DutyOwnership(Duty.FLEET, "holder", token, 1);
-            FleetDutyRecord record = new FleetDutyRecord(runtime(time, store, seed));
+            FleetDutyRecord record =
+                    new FleetDutyRecord(SimRuntime.create(time, store.client(), new NoHosts()));
             record.load(() -> true, state -> assertThat(state, is(Optional.empty())));
             time.run(100);
             store.setLostShare(1);
@@ -54,18 +53,4 @@
                 new SurgeSequenceSnapshot(List.of(), Optional.empty(), List.of());
         return new FleetDutyState(1, false, Set.of(host), Instant.EPOCH, none);
     }
-
-    private static BatchRuntime runtime(SimTime time, SimStore store, long seed) {
-        return new BatchRuntime(
-                store.client(),
-                new SimOrders(time, new Random(seed), Map.of()),
-                new NoHosts(),
-                new SimAdvice(time, Map.of()),
-                new SimFormat(false),
-                time,
-                new Random(seed),
-                new SimLoop(time),
-                new EventLog(time),
-                TestLimits.USUAL);
-    }
 }
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/HostMoverTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/HostMoverTest.java
@@ -24,7 +24,6 @@
 import org.crocusgrade.core.port.CommitResult;
 import org.crocusgrade.core.port.HostControl;
 import org.crocusgrade.core.port.PlatformException;
-import org.crocusgrade.daemon.log.EventLog;
 import org.junit.jupiter.api.Test;
 
 /** Checks that a host stays evacuated as long as an order to move it may be carried out. */
@@ -95,18 +94,7 @@
     }
 
     private BatchRuntime runtime() {
-        SimStore store = new SimStore(time, new Random(1));
-        return new BatchRuntime(
-                store.client(),
-                new SimOrders(time, new Random(1), Map.of()),
-                platform,
-                new SimAdvice(time, Map.of()),
-                new SimFormat(false),
-                time,
-                new Random(1),
-                new SimLoop(time),
-                new EventLog(time),
-                TestLimits.USUAL);
+        return SimRuntime.create(time, new SimStore(time, new Random(1)).client(), platform);
     }
 
     /** Answers no order until it is told to refuse them. */
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/RecordWriterTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/RecordWriterTest.java
@@ -10,7 +10,6 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -20,7 +19,6 @@
 import org.crocusgrade.core.submission.SubmissionId;
 import org.crocusgrade.core.submission.SubmissionState;
 import org.crocusgrade.daemon.batch.RecordWriter.CreateResult;
-import org.crocusgrade.daemon.log.EventLog;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -45,18 +43,7 @@
     void createWriter() {
         store.write(HOLDER, new byte[] {1});
         long token = store.read(HOLDER).orElseThrow().revision();
-        BatchRuntime runtime =
-                new BatchRuntime(
-                        client,
-                        new SimOrders(time, new Random(1), Map.of()),
-                        new NoHosts(),
-                        null,
-                        new SimFormat(false),
-                        time,
-                        new Random(1),
-                        new SimLoop(time),
-                        new EventLog(time),
-                        TestLimits.USUAL);
+        BatchRuntime runtime = SimRuntime.create(time, client, new NoHosts());
         DutyOwnership ownership = new DutyOwnership(Duty.pool(SERVICE), HOLDER, token, 1);
         writer = new RecordWriter(runtime, SERVICE, ownership, dirtySubmissions, this);
     }
