Send each acknowledgement of ends only until it is answered

Cause: each poll repeated the number of the last acknowledged end. A worker born again under its name counts from 1, so a poll that was meant for its last incarnation made it discard ends that nobody had seen; the next owner found no trace of a task that was done, and ran it again.

What is left is a poll that acknowledges a new end just as the worker is born again.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -77,6 +77,14 @@
     private boolean closed;
     private boolean polling;
     private long listedEnd;
+
+    /**
+     * The number of the last end whose acknowledgement the worker has answered. It is not sent
+     * again: a worker born again under the same name counts from 1, and would discard ends that
+     * nobody has seen.
+     */
+    private long acknowledged;
+
     private int failures;
     private boolean calibrated;
     private long clockMillis;
@@ -257,11 +265,12 @@
         }
         Duration wait = failures > 0 || !fenced ? Duration.ZERO : pollWait();
         long requestedNanos = runtime.clock().nanoTime();
+        long cursor = node.ackCursor();
         runtime.orders()
-                .poll(target, new Poll(lease, node.ackCursor(), wait))
+                .poll(target, new Poll(lease, cursor > acknowledged ? cursor : 0, wait))
                 .emitOn(runtime.loop())
                 .subscribe()
-                .with(r -> onReport(requestedNanos, r), this::onPollFailure);
+                .with(r -> onReport(requestedNanos, cursor, r), this::onPollFailure);
     }
 
     private Duration pollWait() {
@@ -271,7 +280,7 @@
         return node.isShared() ? SHARED_WAIT : POLL_WAIT;
     }
 
-    private void onReport(long requestedNanos, WorkerReport report) {
+    private void onReport(long requestedNanos, long cursor, WorkerReport report) {
         polling = false;
         if (closed) {
             return;
@@ -288,6 +297,7 @@
             runtime.log().log(Event.DEPENDENCY_REGAINED, "worker", node.id(), "failures", failures);
         }
         failures = 0;
+        acknowledged = Math.max(acknowledged, cursor);
         calibrate(report.clockMillis());
         fenced = true;
         updateUsable();
