Let an owner that was paused wait for a new confirmation of its duty

Cause: an owner goes on for 5 s without a confirmation of its duty, for outages of the store. One that had been frozen for 4 s went on as well: it took the leases at a silent worker for expired, which its successor had renewed, and ordered the tasks again on a worker that had been born again and so knew no token. After a pause of more than 1.5 s, less than the lease lasts, earlier confirmations no longer count.

Left: an owner cut off from the store, not paused, while a worker is born again that no other owner has reached yet.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/DaemonLease.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/DaemonLease.java
@@ -25,6 +25,12 @@
      */
     private static final long RENEWAL_MILLIS = 600;
 
+    /**
+     * After a longer time between two renewals the process counts as paused. Shorter than the time
+     * to live: after that, another daemon may have taken the duties over.
+     */
+    private static final Duration MAX_RENEWAL_GAP = Duration.ofMillis(1500);
+
     /** Delay before a failed call is repeated, in milliseconds. */
     private static final long RETRY_MILLIS = 250;
 
@@ -34,6 +40,8 @@
     private final Runnable onEnded;
     private Optional<LeaseId> lease = Optional.empty();
     private Optional<ClockReading> confirmed = Optional.empty();
+    private ClockReading renewed;
+    private long resumedNanos;
     private long registeredNanos;
     private boolean registered;
     private boolean stopped;
@@ -51,6 +59,8 @@
         this.key = key;
         this.record = record;
         this.onEnded = onEnded;
+        renewed = ClockReading.of(runtime.clock());
+        resumedNanos = renewed.nanos();
     }
 
     void start() {
@@ -72,9 +82,13 @@
                 && runtime.clock().nanoTime() - registeredNanos >= time.toNanos();
     }
 
-    /** Returns whether the store has confirmed the lease by a call made within the given time. */
+    /**
+     * Returns whether the store has confirmed the lease by a call made within the given time and
+     * since the process was last paused.
+     */
     boolean isConfirmedWithin(Duration age) {
         return lease.isPresent()
+                && renewed.isWithin(MAX_RENEWAL_GAP, runtime.clock())
                 && confirmed.filter(c -> c.isWithin(age, runtime.clock())).isPresent();
     }
 
@@ -109,6 +123,7 @@
                 .with(
                         l -> {
                             lease = Optional.of(l);
+                            renewed = ClockReading.of(runtime.clock());
                             confirm(requested);
                             register(l);
                             runtime.after(RENEWAL_MILLIS, () -> renew(l));
@@ -151,6 +166,10 @@
         }
         runtime.after(RENEWAL_MILLIS, () -> renew(held));
         ClockReading requested = ClockReading.of(runtime.clock());
+        if (!renewed.isWithin(MAX_RENEWAL_GAP, runtime.clock())) {
+            onResumed(requested);
+        }
+        renewed = requested;
         runtime.store()
                 .renewLease(held)
                 .emitOn(runtime.loop())
@@ -158,6 +177,16 @@
                 .with(v -> confirm(requested), f -> onRenewalFailed(held, f));
     }
 
+    /**
+     * Forgets the last confirmation after a pause: another daemon may hold the duties by now, and
+     * orders to a worker that was born again meanwhile would not be rejected.
+     */
+    private void onResumed(ClockReading now) {
+        runtime.log().log(Event.PROCESS_PAUSED, "for-ms", renewed.age(runtime.clock()).toMillis());
+        confirmed = Optional.empty();
+        resumedNanos = now.nanos();
+    }
+
     private void onRenewalFailed(LeaseId held, Throwable failure) {
         boolean lost =
                 failure instanceof StoreException e && e.kind() == StoreException.Kind.LEASE_LOST;
@@ -179,7 +208,9 @@
      * @param requested when the call was made; the lease counts as confirmed as of then
      */
     void confirm(ClockReading requested) {
-        if (confirmed.isEmpty() || requested.nanos() - confirmed.get().nanos() > 0) {
+        boolean beforePause = requested.nanos() - resumedNanos < 0;
+        boolean newer = confirmed.isEmpty() || requested.nanos() - confirmed.get().nanos() > 0;
+        if (newer && !beforePause) {
             confirmed = Optional.of(requested);
         }
         if (storeLost) {
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FaultInjectionTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FaultInjectionTest.java
@@ -31,6 +31,12 @@
     private static final long ROUND_MILLIS = 1000;
     private static final long RECOVERY_MILLIS = 40_000;
 
+    /**
+     * Seeds that have failed: 1768, an acknowledgement for a worker's last incarnation reached the
+     * next one; 1955, an owner that woke from a freeze ordered a worker that had been born again.
+     */
+    private static final List<Long> REGRESSION_SEEDS = List.of(1768L, 1955L);
+
     /** The range of seeds can be set by {@code -Dsim.first} and {@code -Dsim.last}. */
     static List<Long> seeds() {
         List<Long> seeds = new ArrayList<>();
@@ -38,6 +44,7 @@
         for (long seed = Long.getLong("sim.first", 1); seed <= last; seed++) {
             seeds.add(seed);
         }
+        seeds.addAll(REGRESSION_SEEDS);
         return seeds;
     }
 
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FleetHandOverTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FleetHandOverTest.java
@@ -206,6 +206,20 @@
         assertThat(owner.node.mayExtendLeases(SimFleet.SERVICE), is(false));
     }
 
+    /**
+     * After a freeze, another daemon may hold the duty, also if the last confirmation is recent.
+     */
+    @Test
+    void aFrozenOwnerExtendsNoLeasesUntilItsDutyIsConfirmedAgain() {
+        SimFleet.Daemon owner = fleet.holder();
+        owner.client.setCut(true);
+        owner.loop.freeze(2500);
+        fleet.time.run(2500);
+        assertThat(owner.node.mayExtendLeases(SimFleet.SERVICE), is(false));
+        fleet.time.run(700);
+        assertThat("not confirmed since", owner.node.mayExtendLeases(SimFleet.SERVICE), is(false));
+    }
+
     @Test
     void aFormerHoldersEvacuationIsIgnored() {
         fleet.requestWave(1);
