--- /dev/null
+++ b/core/src/test/java/org/crocusgrade/core/schedule/LongRunningTasksTest.java
@@ -0,0 +1,150 @@
+package org.crocusgrade.core.schedule;
+
+import static org.crocusgrade.core.schedule.Pool.end;
+import static org.crocusgrade.core.schedule.Pool.run;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+
+import java.time.Duration;
+import java.util.List;
+import org.crocusgrade.core.submission.TaskEnd.Result;
+import org.crocusgrade.core.submission.TaskRun;
+import org.junit.jupiter.api.Test;
+
+/** How long-running tasks are kept available, moved and restarted. */
+class LongRunningTasksTest {
+    private final Pool pool = Pool.settled();
+
+    @Test
+    void longRunningTaskIsRestartedUnlessDone() {
+        WorkerNode worker = pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(1, 1000).longRunning(0).build());
+        int number = 0;
+        for (Result result : Result.values()) {
+            if (result == Result.DONE) {
+                continue;
+            }
+            pool.advance(Duration.ofMillis(200));
+            List<Placement> starts = pool.startAll();
+            assertThat(result.name(), starts, hasSize(1));
+            pool.report(worker, end(++number, starts.get(0), result));
+        }
+        pool.advance(Duration.ofMillis(200));
+        assertThat(pool.starts(), hasSize(1));
+    }
+
+    @Test
+    void evacuatingWorkerLosesLongRunningTasksWithinBudget() {
+        WorkerNode leaving = pool.worker("w1", "r1");
+        StepBuilder stepOfTwo = new StepBuilder(2, 1000).longRunning(1).maxPerWorker(2);
+        pool.submit(false, stepOfTwo.build());
+        assertThat(pool.startAll(), hasSize(2));
+        pool.report(leaving);
+        WorkerNode other = pool.worker("w2", "r2");
+        leaving.setEvacuating(true);
+        assertThat("one of two may be unavailable", pool.stops(), hasSize(1));
+        assertThat(pool.stops(), empty());
+        assertThat(other.placements(), empty());
+    }
+
+    @Test
+    void newOwnerMovesNoLongRunningTaskWhileStopsOfFormerOwnerTakeEffect() {
+        WorkerNode leaving = pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(2, 1000).longRunning(1).maxPerWorker(2).build());
+        assertThat(pool.startAll(), hasSize(2));
+        pool.report(leaving);
+        pool.worker("w2", "r2");
+        pool.scheduler.holdEvacuationsUntil(pool.now() + Duration.ofMillis(1500).toNanos());
+        leaving.setEvacuating(true);
+        assertThat(pool.stops(), empty());
+        pool.advance(Duration.ofMillis(1500));
+        assertThat(pool.stops(), hasSize(1));
+    }
+
+    @Test
+    void tasksOnSilentWorkerCountAsUnavailable() {
+        StepBuilder stepOfTwo = new StepBuilder(2, 1000).longRunning(1).maxPerWorker(1);
+        WorkerNode leaving = pool.worker("w1", "r1");
+        WorkerNode silent = pool.worker("w2", "r2");
+        pool.submit(false, stepOfTwo.build());
+        assertThat(pool.startAll(), hasSize(2));
+        pool.report(leaving);
+        pool.report(silent);
+        pool.worker("w3", "r3");
+        silent.setSilent(true);
+        leaving.setEvacuating(true);
+        assertThat(pool.stops(), empty());
+        silent.setSilent(false);
+        assertThat(pool.stops(), hasSize(1));
+    }
+
+    @Test
+    void runWithStopOrderOnItsWayCountsAsUnavailable() {
+        pool.worker("w1", "r1");
+        pool.worker("w2", "r2");
+        pool.submit(false, new StepBuilder(2, 1000).longRunning(1).maxPerWorker(1).build());
+        List<Placement> starts = pool.starts();
+        Placement unanswered = starts.get(0);
+        Placement other = starts.get(1);
+        pool.answer(unanswered, StartAnswer.UNKNOWN);
+        pool.answer(other, StartAnswer.STARTED);
+        pool.list(unanswered.worker(), List.of());
+        assertThat(pool.stops(), hasSize(1));
+        pool.list(unanswered.worker(), List.of(run(unanswered)));
+        pool.report(other.worker());
+        pool.worker("w3", "r3");
+        other.worker().setEvacuating(true);
+        assertThat(pool.stops(), empty());
+    }
+
+    @Test
+    void unansweredStartOfLongRunningTaskIsNotStoppedIfWorkerReportsRun() {
+        WorkerNode worker = pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(1, 1000).longRunning(1).build());
+        Placement unanswered = pool.starts().get(0);
+        pool.answer(unanswered, StartAnswer.UNKNOWN);
+        assertThat("the run may be at work", pool.stops(), empty());
+        pool.list(worker, List.of(run(unanswered)));
+        assertThat(pool.stops(), empty());
+        pool.advance(Duration.ofSeconds(5));
+        assertThat(pool.stops(), empty());
+    }
+
+    @Test
+    void lateReportsOfLongRunningTaskAreNotTakenForAStall() {
+        WorkerNode worker = pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(1, 1000).longRunning(1).build());
+        Placement placement = pool.startAll().get(0);
+        pool.list(worker, List.of(new TaskRun(placement.task().id(), placement.run(), "", 0, 0)));
+        pool.advance(Duration.ofSeconds(3));
+        assertThat("no report since", pool.stops(), empty());
+        pool.report(worker);
+        assertThat(pool.stops(), empty());
+    }
+
+    @Test
+    void tasksStayOnEvacuatingWorkerWithoutRoomElsewhere() {
+        WorkerNode leaving = pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(1, 1000).longRunning(1).build());
+        pool.startAll();
+        pool.report(leaving);
+        leaving.setEvacuating(true);
+        assertThat(pool.stops(), empty());
+    }
+
+    @Test
+    void longRunningTaskThatDoesNotReachFullShareIsStopped() {
+        WorkerNode hung = pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(1, 1000).longRunning(1).build());
+        Placement placement = pool.startAll().get(0);
+        TaskRun idle = new TaskRun(placement.task().id(), placement.run(), "", 0, 0);
+        pool.list(hung, List.of(idle));
+        pool.advance(Duration.ofMillis(1500));
+        pool.list(hung, List.of(idle));
+        assertThat(pool.stops(), empty());
+        pool.advance(Duration.ofMillis(1500));
+        pool.list(hung, List.of(idle));
+        assertThat(pool.stops(), hasSize(1));
+    }
+}
