Report and log the hosts that a pool lacks for tasks without room

The logs showed what a pool's tasks need as sums of processors and memory, from which nobody could tell that a long-running task waits because no worker has room for it. The pool's owner now counts such tasks, packs them on the hosts that would be needed (HostShortage), puts the number in its report and logs each change (hosts-lacking). Nothing acts on it yet.

--- /dev/null
+++ b/core/src/main/java/org/crocusgrade/core/schedule/HostShortage.java
@@ -0,0 +1,198 @@
+package org.crocusgrade.core.schedule;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.crocusgrade.core.schedule.Placement.Phase;
+import org.crocusgrade.core.submission.Resources;
+import org.crocusgrade.core.submission.StepId;
+import org.crocusgrade.core.submission.StepSpec;
+
+/**
+ * The hosts that a pool needs beside its present ones, because no worker has room for a task.
+ *
+ * <p>Load: a step with a limit of tasks per worker, or with tasks of which a worker holds only one
+ * or two, loses a worker. The sums of the pool's processors and memory still suffice, so they show
+ * no need for another host, but the task has nowhere to run.
+ *
+ * <p>Tasks of batch submissions count only if no worker could take them even without other batch
+ * tasks: otherwise they get room when those end. Long-running tasks never end, so they count as
+ * soon as no worker has room now. Tasks on evacuating workers count as far as the step may have
+ * tasks unavailable, since they stay where they are until there is room elsewhere.
+ *
+ * <p>Worked case: a step of 24 long-running tasks, at most one per worker, has 23 running on 23
+ * workers that use a third of their processors. It lacks one host, whatever is free on the 23.
+ *
+ * @param hosts the number of hosts that the pool lacks
+ * @param tasks the number of tasks without room
+ * @param step the first of their steps; empty if there is none
+ */
+public record HostShortage(int hosts, int tasks, Optional<StepId> step) {
+    public static final HostShortage NONE = new HostShortage(0, 0, Optional.empty());
+
+    /** Checks the fields. */
+    public HostShortage {
+        if (hosts < 0 || tasks < 0) {
+            throw new IllegalArgumentException("negative: " + hosts + " hosts, " + tasks);
+        }
+    }
+
+    /**
+     * Returns the shortage of a pool; none before it is settled, since a task may still be running
+     * somewhere until then.
+     */
+    static HostShortage of(PoolState pool, StartPlanner starts, long now, Instant wall) {
+        if (!pool.isSettled()) {
+            return NONE;
+        }
+        Count count = new Count(pool, now);
+        for (TrackedSubmission submission : pool.active()) {
+            for (TrackedStep step : StartPlanner.readySteps(submission, wall)) {
+                StepSpec spec = step.spec();
+                if (spec.gang() || spec.opportunistic()) {
+                    continue;
+                }
+                int startable = starts.startableWithinLimit(step, now);
+                if (spec.longRunning()) {
+                    count.addLongRunning(step, startable);
+                } else if (startable > 0) {
+                    count.addBatch(step);
+                }
+            }
+        }
+        return count.result();
+    }
+
+    /** Places the tasks without room on hosts that the pool would get. */
+    private static final class Count {
+        private final PoolState pool;
+        private final long now;
+        private final List<AddedHost> added = new ArrayList<>();
+        private int tasks;
+        private Optional<StepId> first = Optional.empty();
+
+        Count(PoolState pool, long now) {
+            this.pool = pool;
+            this.now = now;
+        }
+
+        HostShortage result() {
+            return tasks == 0 ? NONE : new HostShortage(added.size(), tasks, first);
+        }
+
+        void addLongRunning(TrackedStep step, int startable) {
+            int waiting = startable + evacuable(step);
+            if (waiting == 0) {
+                return;
+            }
+            long room = 0;
+            for (WorkerNode worker : pool.workers().values()) {
+                if (worker.acceptsRuns(now) && Placer.hasLabel(worker, step.spec())) {
+                    room += Math.max(0, Placer.places(worker, step));
+                }
+                if (room >= waiting) {
+                    return;
+                }
+            }
+            add(step, waiting - (int) room);
+        }
+
+        /** Adds one task of a batch step that fits beside the long-running tasks of no worker. */
+        void addBatch(TrackedStep step) {
+            Resources each = step.spec().reserved();
+            for (WorkerNode worker : pool.workers().values()) {
+                boolean lasts = !worker.isDraining() && !worker.isEvacuating();
+                if (lasts
+                        && Placer.hasLabel(worker, step.spec())
+                        && each.fitsIn(worker.capacity().minus(worker.longRunningReserved()))) {
+                    return;
+                }
+            }
+            add(step, 1);
+        }
+
+        /** Returns how many tasks may leave evacuating workers as soon as they have room. */
+        private int evacuable(TrackedStep step) {
+            int leaving = 0;
+            for (Task task : step.tasks()) {
+                for (Placement placement : task.placements()) {
+                    boolean runs = placement.phase() == Phase.RUNNING;
+                    leaving += runs && placement.worker().isEvacuating() ? 1 : 0;
+                }
+            }
+            if (leaving == 0) {
+                return 0;
+            }
+            int allowed = Math.max(1, step.spec().maxUnavailable()) - step.unavailableTasks();
+            return Math.max(0, Math.min(leaving, allowed));
+        }
+
+        private void add(TrackedStep step, int lacking) {
+            Optional<Resources> capacity = hostCapacity(step.spec());
+            if (capacity.isEmpty()) {
+                return;
+            }
+            tasks += lacking;
+            first = first.or(() -> Optional.of(step.id()));
+            for (int i = 0; i < lacking; i++) {
+                place(step, capacity.get());
+            }
+        }
+
+        private void place(TrackedStep step, Resources capacity) {
+            for (AddedHost host : added) {
+                if (host.take(step)) {
+                    return;
+                }
+            }
+            AddedHost host = new AddedHost(capacity);
+            host.take(step);
+            added.add(host);
+        }
+
+        /**
+         * Returns the capacity to expect of another host; empty if fewer than half of the workers
+         * could take a task of the step. Without that bound, a pool would collect hosts that are of
+         * no use to the step.
+         */
+        private Optional<Resources> hostCapacity(StepSpec spec) {
+            Optional<Resources> capacity = Optional.empty();
+            int suitable = 0;
+            for (WorkerNode worker : pool.workers().values()) {
+                if (Placer.couldTake(worker, spec)) {
+                    suitable++;
+                    capacity = capacity.or(() -> Optional.of(worker.capacity()));
+                }
+            }
+            return 2 * suitable < pool.workers().size() ? Optional.empty() : capacity;
+        }
+    }
+
+    /** A host that the pool does not have yet, and the tasks that it would take. */
+    private static final class AddedHost {
+        private Resources free;
+        private Optional<StepId> step = Optional.empty();
+        private int tasksOfStep;
+
+        AddedHost(Resources capacity) {
+            free = capacity;
+        }
+
+        /** Takes a task if there is room; tasks of one step must be added one after another. */
+        boolean take(TrackedStep next) {
+            StepSpec spec = next.spec();
+            if (!step.equals(Optional.of(next.id()))) {
+                step = Optional.of(next.id());
+                tasksOfStep = 0;
+            }
+            boolean atLimit = spec.maxPerWorker() > 0 && tasksOfStep >= spec.maxPerWorker();
+            if (atLimit || !spec.reserved().fitsIn(free)) {
+                return false;
+            }
+            free = free.minus(spec.reserved());
+            tasksOfStep++;
+            return true;
+        }
+    }
+}
--- a/core/src/main/java/org/crocusgrade/core/schedule/Placer.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placer.java
@@ -293,7 +293,7 @@
         return racks;
     }
 
-    private static boolean hasLabel(WorkerNode worker, StepSpec spec) {
+    static boolean hasLabel(WorkerNode worker, StepSpec spec) {
         return spec.requiredLabel().map(worker::hasLabel).orElse(true);
     }
 
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolDemand.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolDemand.java
@@ -47,6 +47,11 @@
         return sum;
     }
 
+    /** Returns the hosts that the pool lacks, because its workers have no room for a task. */
+    public HostShortage hostShortage(long now, Instant wall) {
+        return HostShortage.of(pool, starts, now, wall);
+    }
+
     /**
      * Returns the remaining work of accepted submissions that are not long-running, in
      * core-milliseconds.
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolState.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolState.java
@@ -12,7 +12,6 @@
 import org.crocusgrade.core.id.CustomerId;
 import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.submission.Resources;
-import org.crocusgrade.core.submission.StepSpec;
 import org.crocusgrade.core.submission.SubmissionId;
 import org.crocusgrade.core.submission.TaskId;
 
@@ -129,11 +128,7 @@
             if (!worker.countsTowardCapacity(now)) {
                 continue;
             }
-            left = left.plus(worker.capacity());
-            for (Placement placement : worker.placements()) {
-                StepSpec spec = placement.task().step().spec();
-                left = spec.longRunning() ? left.minus(spec.reserved()) : left;
-            }
+            left = left.plus(worker.capacity()).minus(worker.longRunningReserved());
         }
         return new BatchCapacity(
                 Math.max(0, left.milliCores()) / MILLI_CORES_PER_CORE,
--- a/core/src/main/java/org/crocusgrade/core/schedule/StartPlanner.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StartPlanner.java
@@ -33,6 +33,16 @@
         return !limits.mayStart(step.submission(), leastDemand(step));
     }
 
+    /** Returns how many tasks of a step may start, as far as the limit of its customer allows. */
+    int startableWithinLimit(TrackedStep step, long now) {
+        int tasks = step.startable(now);
+        while (tasks > 0
+                && !limits.mayStart(step.submission(), step.spec().demand().times(tasks))) {
+            tasks--;
+        }
+        return tasks;
+    }
+
     /** Returns the demand of one task, or of all tasks of a gang, which start together. */
     private static Resources leastDemand(TrackedStep step) {
         Resources each = step.spec().demand();
--- a/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
@@ -111,6 +111,19 @@
         return longRunning;
     }
 
+    /** Returns what long-running tasks have reserved. */
+    Resources longRunningReserved() {
+        Resources sum = Resources.NONE;
+        if (longRunning == 0) {
+            return sum;
+        }
+        for (Placement placement : placements.values()) {
+            StepSpec spec = placement.task().step().spec();
+            sum = spec.longRunning() ? sum.plus(spec.reserved()) : sum;
+        }
+        return sum;
+    }
+
     /** Returns whether a long-running task here has not reached its full share yet. */
     public boolean hasTaskSettling() {
         if (longRunning == 0) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -15,6 +15,7 @@
 import org.crocusgrade.core.port.WorkerEntry;
 import org.crocusgrade.core.port.WorkerOrders.WorkerReport;
 import org.crocusgrade.core.schedule.AdviceRequest;
+import org.crocusgrade.core.schedule.HostShortage;
 import org.crocusgrade.core.schedule.Order;
 import org.crocusgrade.core.schedule.Placement;
 import org.crocusgrade.core.schedule.PoolDemand;
@@ -22,6 +23,7 @@
 import org.crocusgrade.core.schedule.StartAnswer;
 import org.crocusgrade.core.schedule.TrackedSubmission;
 import org.crocusgrade.core.submission.Resources;
+import org.crocusgrade.core.submission.StepId;
 import org.crocusgrade.core.submission.SubmissionId;
 import org.crocusgrade.core.submission.TaskEnd;
 import org.crocusgrade.daemon.batch.SubmissionReply.Outcome;
@@ -80,6 +82,7 @@
     private boolean stopped;
     private long statusSequence;
     private final PoolCaps caps;
+    private HostShortage shortage = HostShortage.NONE;
     private EvacuationMessage evacuation = EvacuationMessage.getDefaultInstance();
 
     PoolOwner(
@@ -160,6 +163,7 @@
         Resources waiting = demand.waiting(now, wall);
         Resources batch = demand.reserved(false).plus(waiting);
         Resources longRunning = demand.reserved(true);
+        setShortage(demand.hostShortage(now, wall));
         PoolStatusMessage.Builder status =
                 PoolStatusMessage.newBuilder()
                         .setService(service.value())
@@ -173,6 +177,7 @@
                         .setWaitingMemoryMb(waiting.memoryMb())
                         .setBatchMemoryMb(batch.memoryMb())
                         .setLongRunningMemoryMb(longRunning.memoryMb())
+                        .setLackingHosts(shortage.hosts())
                         .setBacklogCoreMillis(Math.round(demand.backlogCoreMillis()))
                         .setOfferedMilliCores(scheduler.offeredMilliCores(now))
                         .setOfferedSubmissions(scheduler.offeredSubmissions(now));
@@ -185,6 +190,24 @@
         return status.build();
     }
 
+    private void setShortage(HostShortage current) {
+        if (current.hosts() != shortage.hosts()) {
+            runtime.log().log(
+                    Event.HOSTS_LACKING,
+                    "pool",
+                    service,
+                    "hosts",
+                    current.hosts(),
+                    "tasks",
+                    current.tasks(),
+                    "step",
+                    current.step().map(StepId::toString).orElse("-"),
+                    "workers",
+                    scheduler.workers().size());
+        }
+        shortage = current;
+    }
+
     /** Returns whether all changes are stored. */
     boolean isIdle() {
         return writer.isIdle();
--- a/daemon/src/main/java/org/crocusgrade/daemon/log/Event.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/log/Event.java
@@ -103,6 +103,8 @@
     CAP_WAIT_ENDED(332, Level.INFO),
     /** The hosts, the target and the binding resource of a pool, once a second. */
     POOL_HOSTS(333, Level.INFO),
+    /** The number of hosts changed that a pool lacks for tasks which no worker has room for. */
+    HOSTS_LACKING(334, Level.INFO),
     /** The state of a wave was written. */
     WAVE_STATUS(323, Level.INFO),
     /** A read or write of the platform's store failed. */
