Send a pool the hosts that its tasks without room need

What callers saw: a task that must run until it is cancelled stood still while its pool counted itself as more than half empty.

Cause: hosts were given to pools by sums of processors and memory. A step with a limit per worker, or with tasks of which a host holds one or two, needs more hosts than the sums say. Once such a step had lost a worker, no host came until a surge of the queue brought some, and the empty hosts that the pool had could still be taken away.

Ruled out: a lack of processors or memory in the pool, a full standby pool, a limit of a customer, a worker in quarantine.

The owner reports how many hosts it lacks; until as many are on their way, the balancer counts the pool as below its target, so it gets hosts and gives none.

--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolBalancer.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolBalancer.java
@@ -26,6 +26,10 @@
  * law), so only the part that waits for hosts is late. Shortly before a forecast surge, the demand
  * of that surge is added.
  *
+ * <p>The sums do not show a task that no host of the pool has room for, because of a limit per
+ * worker or since each host has some memory left, but none enough. The owner reports how many hosts
+ * such tasks need; until they are on their way, the pool's target is above what it has.
+ *
  * <p>Pools below their target get hosts from the standby pool first, then from pools above their
  * target, idle hosts first; hosts with long-running tasks stay. What arrives comes before late work
  * of other pools: that is late already. Late work takes no hosts that a pool keeps for work that
@@ -116,9 +120,12 @@
             ServiceId pool = need.pool();
             double capacity = capacity(pool, hosts, incoming);
             double target = target(need, capacity, standbyCores, now);
-            surplus.put(pool, capacity - target);
-            catchUp.put(pool, catchUp(need, now));
-            targets.put(pool, target + catchUp.get(pool));
+            double mostSpare = mostSpare(need, hosts, incoming);
+            double spare = Math.min(capacity - target, mostSpare);
+            double caughtUp = Math.min(capacity - target - catchUp(need, now), mostSpare);
+            surplus.put(pool, spare);
+            catchUp.put(pool, spare - caughtUp);
+            targets.put(pool, capacity - caughtUp);
         }
         lastHosts = hosts;
         lastNeeds = needs;
@@ -236,14 +243,29 @@
     private static double capacity(
             ServiceId pool, List<HostView> hosts, Map<ServiceId, Integer> incoming) {
         double cores = 0;
-        double largest = 0;
         for (HostView host : hosts) {
             if (host.pool().equals(pool) && host.state() == State.UP) {
                 cores += cores(host);
             }
-            largest = Math.max(largest, cores(host));
         }
-        return cores + incoming.getOrDefault(pool, 0) * largest;
+        return cores + incoming.getOrDefault(pool, 0) * largestCores(hosts);
+    }
+
+    /**
+     * Returns the most that a pool can spare, in cores, if tasks have no room on its present hosts:
+     * the hosts on their way to it above those that it lacks. Negative if it needs more.
+     */
+    private static double mostSpare(
+            PoolNeed need, List<HostView> hosts, Map<ServiceId, Integer> incoming) {
+        if (need.lackingHosts() == 0) {
+            return Double.POSITIVE_INFINITY;
+        }
+        int spareHosts = incoming.getOrDefault(need.pool(), 0) - need.lackingHosts();
+        return spareHosts * largestCores(hosts);
+    }
+
+    private static double largestCores(List<HostView> hosts) {
+        return hosts.stream().mapToDouble(PoolBalancer::cores).max().orElse(0);
     }
 
     /** Returns the hosts that may leave their pools, in the order in which to take them. */
--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolNeed.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolNeed.java
@@ -15,6 +15,8 @@
  *     counts in full until it ends
  * @param longRunningMemory the memory that long-running tasks use, in cores
  * @param batchMemory the memory that the tasks of {@code batchCores} use or wait for, in cores
+ * @param lackingHosts the hosts that the pool needs beside its present ones, because none of those
+ *     has room for some task, whatever the sums above say
  */
 public record PoolNeed(
         ServiceId pool,
@@ -23,7 +25,8 @@
         double waitingCores,
         double backlog,
         double longRunningMemory,
-        double batchMemory) {
+        double batchMemory,
+        int lackingHosts) {
     /** Checks the fields. */
     public PoolNeed {
         Objects.requireNonNull(pool);
@@ -36,7 +39,7 @@
             double batchCores,
             double waitingCores,
             double backlog) {
-        this(pool, longRunningCores, batchCores, waitingCores, backlog, 0, 0);
+        this(pool, longRunningCores, batchCores, waitingCores, backlog, 0, 0, 0);
     }
 
     /**
--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolSummary.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolSummary.java
@@ -15,6 +15,7 @@
  * @param target its target, in cores
  * @param memoryBound whether memory, rather than processors, determines what its tasks need
  * @param surging whether it surges
+ * @param lacking the number of hosts that its tasks need because no present one has room
  */
 public record PoolSummary(
         ServiceId pool,
@@ -24,7 +25,8 @@
         int incoming,
         double target,
         boolean memoryBound,
-        boolean surging) {
+        boolean surging,
+        int lacking) {
     /** Counts the hosts of a pool. */
     static PoolSummary of(
             PoolNeed need, List<HostView> all, int incoming, double target, boolean surging) {
@@ -46,6 +48,7 @@
                 incoming,
                 target,
                 need.isMemoryBound(),
-                surging);
+                surging,
+                need.lackingHosts());
     }
 }
--- a/core/src/test/java/org/crocusgrade/core/fleet/plan/PoolBalancerTest.java
+++ b/core/src/test/java/org/crocusgrade/core/fleet/plan/PoolBalancerTest.java
@@ -50,9 +50,9 @@
     void memoryCountsWhereItBinds() {
         add("s", STANDBY, 4, 0, 0);
         add("h", HOT, 2, 4, 2);
-        needs.put(HOT, new PoolNeed(HOT, 20, 20, 0, 0, 80, 40));
+        needs.put(HOT, new PoolNeed(HOT, 20, 20, 0, 0, 80, 40, 0));
         assertThat(decideAfterDwell(), hasSize(2));
-        needs.put(HOT, new PoolNeed(HOT, 20, 20, 0, 0, 20, 10));
+        needs.put(HOT, new PoolNeed(HOT, 20, 20, 0, 0, 20, 10, 0));
         assertThat(decideAfterDwell(), empty());
     }
 
@@ -62,7 +62,28 @@
         add("c", CALM, 4, 1, 0);
         add("h", HOT, 2, 4, 0);
         need(HOT, 300);
-        needs.put(CALM, new PoolNeed(CALM, 5, 5, 0, 0, 60, 60));
+        needs.put(CALM, new PoolNeed(CALM, 5, 5, 0, 0, 60, 60, 0));
+        assertThat(decideAfterDwell(), empty());
+    }
+
+    /** Guards against a host for each report of the same lack, while the first is on its way. */
+    @Test
+    void hostsOnTheirWayCountAgainstTheHostsThatAreLacking() {
+        add("s", STANDBY, 4, 0, 0);
+        add("h", HOT, 4, 1, 1);
+        needs.put(HOT, new PoolNeed(HOT, 20, 0, 0, 0, 0, 0, 2));
+        assertThat(decideAfterDwell(), hasSize(2));
+        assertThat(decideWithIncoming(1), hasSize(1));
+        assertThat(decideWithIncoming(2), empty());
+    }
+
+    /** Guards against an empty host that leaves while a task of its pool waits for one. */
+    @Test
+    void poolThatLacksAHostGivesNone() {
+        add("c", CALM, 4, 0, 0);
+        add("h", HOT, 2, 4, 0);
+        need(HOT, 300);
+        needs.put(CALM, new PoolNeed(CALM, 5, 0, 0, 0, 0, 0, 1));
         assertThat(decideAfterDwell(), empty());
     }
 
@@ -144,6 +165,11 @@
         return balancer.decide(3, hosts, needs, Map.of(), Set.of(STANDBY));
     }
 
+    private List<PoolBalancer.Move> decideWithIncoming(int hostsOnTheirWay) {
+        Map<ServiceId, Integer> incoming = Map.of(HOT, hostsOnTheirWay);
+        return balancer.decide(3, hosts, needs, incoming, Set.of(STANDBY));
+    }
+
     private static List<String> names(List<PoolBalancer.Move> moves) {
         return moves.stream().map(m -> m.host().value()).toList();
     }
--- a/core/src/test/java/org/crocusgrade/core/schedule/HostsForLongRunningTasksTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/HostsForLongRunningTasksTest.java
@@ -18,7 +18,6 @@
 import org.crocusgrade.core.maintenance.HostView;
 import org.crocusgrade.core.port.HostControl.State;
 import org.crocusgrade.core.submission.Resources;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -32,7 +31,6 @@
     private final PoolBalancer balancer = new PoolBalancer(new SurgeSequenceForecast());
 
     @Test
-    @Tag("known-red")
     void poolGetsAHostIfTheLimitPerWorkerLeavesNoRoom() {
         WorkerNode lost = startOnThreeWorkers(new StepBuilder(3, 1000).maxPerWorker(1));
         pool.scheduler.removeWorker(lost);
@@ -41,7 +39,6 @@
     }
 
     @Test
-    @Tag("known-red")
     void poolGetsAHostIfNoWorkerHasEnoughMemoryLeft() {
         WorkerNode lost = startOnThreeWorkers(new StepBuilder(3, 1000).memoryMb(80_000));
         pool.scheduler.removeWorker(lost);
@@ -87,7 +84,8 @@
                 cores(waiting),
                 demand.backlogCoreMillis() / 1000,
                 longRunning.memoryMb() * coresPerMb,
-                (demand.reserved(false).memoryMb() + waiting.memoryMb()) * coresPerMb);
+                (demand.reserved(false).memoryMb() + waiting.memoryMb()) * coresPerMb,
+                demand.hostShortage(pool.now(), pool.wall()).hosts());
     }
 
     private static double cores(Resources resources) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetController.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetController.java
@@ -258,7 +258,8 @@
                             report.getWaitingMilliCores() / MILLI,
                             report.getBacklogCoreMillis() / MILLI,
                             report.getLongRunningMemoryMb() * coresPerMb,
-                            report.getBatchMemoryMb() * coresPerMb));
+                            report.getBatchMemoryMb() * coresPerMb,
+                            report.getLackingHosts()));
         }
         return needs;
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/HostMover.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/HostMover.java
@@ -130,7 +130,9 @@
                     "binds",
                     pool.memoryBound() ? "memory" : "cores",
                     "surging",
-                    pool.surging());
+                    pool.surging(),
+                    "lacking",
+                    pool.lacking());
         }
     }
 
