--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
@@ -38,6 +38,7 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     static final ServiceId SERVICE = new ServiceId("quotes");
     static final QueueId QUEUE = new QueueId("quote");
+    static final ServiceId STANDBY = new ServiceId("standby");
     static final CustomerId CUSTOMER = new CustomerId("sim");
     static final long TASK_MILLIS = 700;
 
@@ -50,11 +51,12 @@
     private final boolean advised;
     private final PlatformLimits limits;
     private final Optional<CustomerId> customer;
+    private final long taskMillis;
     final SimStore store;
     final SimChecks checks = new SimChecks(time);
     final Map<WorkerId, SimWorker> workers = new LinkedHashMap<>();
     final Map<DaemonId, Daemon> daemons = new LinkedHashMap<>();
-    final SimHosts hosts = new SimHosts(time, checks, workers, this::register);
+    final SimHosts hosts = new SimHosts(time, checks, workers, this::register, this::join);
     final Map<SubmissionId, SubmissionState> accepted = new LinkedHashMap<>();
     private int boots;
     private int submissions;
@@ -77,12 +79,17 @@
     }
 
     SimFleet(long seed, boolean advised, int workerCount, PlatformLimits limits) {
-        this(seed, advised, workerCount, limits, Optional.empty());
+        this(seed, advised, workerCount, limits, Optional.empty(), 0);
     }
 
     /** Starts a fleet in which all submissions are of a customer with a cap, in cores. */
     static SimFleet withCap(long seed, int cores) {
-        return new SimFleet(seed, false, WORKERS, TestLimits.USUAL, Optional.of(cores));
+        return new SimFleet(seed, false, WORKERS, TestLimits.USUAL, Optional.of(cores), 0);
+    }
+
+    /** Starts a fleet with hosts on standby, in which tasks run until they are stopped. */
+    static SimFleet withStandbyHosts(long seed, int hosts) {
+        return new SimFleet(seed, false, WORKERS, TestLimits.USUAL, Optional.empty(), hosts);
     }
 
     private SimFleet(
@@ -90,7 +97,9 @@
             boolean advised,
             int workerCount,
             PlatformLimits limits,
-            Optional<Integer> capCores) {
+            Optional<Integer> capCores,
+            int standbyHosts) {
+        taskMillis = standbyHosts > 0 ? 0 : TASK_MILLIS;
         customer = capCores.map(c -> CUSTOMER);
         this.advised = advised;
         this.limits = limits;
@@ -99,10 +108,14 @@
         for (int i = 0; i < workerCount; i++) {
             join("w" + i);
         }
+        for (int i = 0; i < standbyHosts; i++) {
+            hosts.addStandby("s" + i);
+        }
+        String config = standbyHosts > 0 ? "1 " + SimFormat.STANDBY : "1";
         store.write(
                 "op/config",
                 capCores.map(c -> "1 " + CUSTOMER + "=key=" + c)
-                        .orElse("1")
+                        .orElse(config)
                         .getBytes(StandardCharsets.UTF_8));
         for (int i = 0; i < DAEMONS; i++) {
             boot(new DaemonId("d" + i));
@@ -117,7 +130,7 @@
 
     /** Starts a new worker, which registers. */
     SimWorker join(String name) {
-        SimWorker worker = new SimWorker(name, time, checks, TASK_MILLIS, advised);
+        SimWorker worker = new SimWorker(name, time, checks, taskMillis, advised);
         workers.put(worker.id, worker);
         register(worker);
         return worker;
@@ -182,6 +195,21 @@
         submit(id, -tasks, 0);
     }
 
+    /** Submits long-running tasks of which a worker may run a limited number. */
+    SubmissionId submitLongRunning(int tasks, int maxPerWorker) {
+        SubmissionId id = nextId();
+        byte[] body = {(byte) tasks, (byte) maxPerWorker};
+        checks.attempted(id);
+        daemons.values().iterator().next().call(Operation.SUBMIT, id, body, r -> {});
+        return id;
+    }
+
+    /** Stops a worker for good, with its host. */
+    void lose(SimWorker worker) {
+        worker.crash();
+        store.remove("servers/" + worker.id);
+    }
+
     private void submit(SubmissionId id, int tasks, int attempt) {
         List<Daemon> alive = daemons.values().stream().filter(d -> !d.killed).toList();
         if (alive.isEmpty() || attempt > 4) {
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFormat.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFormat.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,6 +18,7 @@
 import org.crocusgrade.core.customer.ResourceCap;
 import org.crocusgrade.core.id.CustomerId;
 import org.crocusgrade.core.id.HostId;
+import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.maintenance.WaveRequest;
 import org.crocusgrade.core.port.FormatException;
@@ -43,6 +45,9 @@
     /** Begins a configuration that cannot be decoded. */
     static final String MALFORMED = "malformed";
 
+    /** A word of a configuration that has a standby pool. */
+    static final String STANDBY = "standby";
+
     static final String WAVE_PREFIX = "op/wave/";
 
     private static final Duration WAVE_TIME = Duration.ofSeconds(60);
@@ -105,8 +110,13 @@
                         advised ? Optional.of(ADVICE) : Optional.empty(),
                         false);
         PoolPolicy policy = new PoolPolicy(SimFleet.SERVICE, true, false);
-        return new QueueTable(
-                version, List.of(route), Map.of(SimFleet.SERVICE, policy), customers(words));
+        Map<ServiceId, PoolPolicy> pools = new HashMap<>();
+        pools.put(SimFleet.SERVICE, policy);
+        if (words[words.length - 1].equals(STANDBY)) {
+            pools.put(SimFleet.STANDBY, new PoolPolicy(SimFleet.STANDBY, true, true));
+            return new QueueTable(version, List.of(route), pools, CustomerDirectory.NONE);
+        }
+        return new QueueTable(version, List.of(route), pools, customers(words));
     }
 
     private static CustomerDirectory customers(String[] words) {
@@ -161,10 +171,10 @@
                         false,
                         Optional.empty(),
                         Optional.empty(),
-                        0,
+                        body.length > 1 ? body[1] : 0,
                         body[0] < 0,
                         false,
-                        false,
+                        body.length > 1,
                         Optional.empty(),
                         Optional.empty(),
                         false,
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimHosts.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimHosts.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -25,10 +26,14 @@
     /** The time that must lie between the orders of two holders for one host, in milliseconds. */
     private static final long ORDER_SPACING_MILLIS = 3000;
 
+    private static final long MOVE_MILLIS = 1500;
+
     private final SimTime time;
     private final SimChecks checks;
     private final Map<WorkerId, SimWorker> workers;
     private final Consumer<SimWorker> onRestarted;
+    private final Consumer<String> onMoved;
+    private final Set<String> standby = new LinkedHashSet<>();
     private final List<HostOrder> orders = new ArrayList<>();
     private final Map<HostId, HostOrder> latest = new HashMap<>();
     private final Set<HostId> inMaintenance = new HashSet<>();
@@ -41,17 +46,24 @@
             SimTime time,
             SimChecks checks,
             Map<WorkerId, SimWorker> workers,
-            Consumer<SimWorker> onRestarted) {
+            Consumer<SimWorker> onRestarted,
+            Consumer<String> onMoved) {
         this.time = time;
         this.checks = checks;
         this.workers = workers;
         this.onRestarted = onRestarted;
+        this.onMoved = onMoved;
     }
 
     static HostId hostOf(WorkerId worker) {
         return new HostId("h-" + worker);
     }
 
+    /** Adds a host on standby; in a pool, it runs a worker of the given name. */
+    void addStandby(String worker) {
+        standby.add(worker);
+    }
+
     /** Sets whether orders are rejected because the host is busy. */
     void setRefusing(boolean now) {
         refusing = now;
@@ -91,12 +103,30 @@
                             SimFleet.CAPACITY,
                             Optional.of(worker.id)));
         }
+        for (String name : standby) {
+            hosts.add(
+                    new PooledHost(
+                            hostOf(new WorkerId(name)),
+                            SimFleet.STANDBY,
+                            State.UP,
+                            "zone",
+                            List.of("a", "r1"),
+                            SimFleet.CAPACITY,
+                            Optional.empty()));
+        }
         return Uni.createFrom().item(hosts);
     }
 
     @Override
     public Uni<Outcome> move(HostId host, ServiceId pool, Credentials credentials) {
-        return Uni.createFrom().item(Outcome.BUSY);
+        Optional<String> name =
+                standby.stream().filter(n -> hostOf(new WorkerId(n)).equals(host)).findFirst();
+        if (name.isEmpty() || !pool.equals(SimFleet.SERVICE)) {
+            return Uni.createFrom().item(Outcome.BUSY);
+        }
+        standby.remove(name.get());
+        time.afterMillis(MOVE_MILLIS, () -> onMoved.accept(name.get()));
+        return Uni.createFrom().item(Outcome.DONE);
     }
 
     @Override
