--- a/cli/src/main/java/org/crocusgrade/cli/SubmissionTrace.java
+++ b/cli/src/main/java/org/crocusgrade/cli/SubmissionTrace.java
@@ -14,7 +14,8 @@
 /**
  * The course of one submission, from the log lines of all daemons: the lines that concern it; the
  * lines about the workers that ran it and about the ownership of its pools, from the time between
- * its first and its last line; and findings about the likely cause of its outcome.
+ * its first and its last line; the times in which tasks of its customer waited for the customer's
+ * cap; and findings about the likely cause of its outcome.
  */
 final class SubmissionTrace {
     private static final Set<String> WORKER_EVENTS =
@@ -26,6 +27,8 @@
     private static final int FAILED_RUNS = 2;
 
     private final List<LogLine> lines = new ArrayList<>();
+    private final List<CapWait> capWaits = new ArrayList<>();
+    private final Set<LogLine> capLines = new HashSet<>();
     private final Set<String> findings = new LinkedHashSet<>();
 
     private SubmissionTrace() {}
@@ -51,6 +54,7 @@
             }
         }
         SubmissionTrace trace = new SubmissionTrace();
+        customer(own).ifPresent(c -> trace.addCapWaits(CapWait.of(c, pools, sorted), own));
         for (LogLine line : sorted) {
             boolean during = line.time().compareTo(first) >= 0 && line.time().compareTo(last) <= 0;
             boolean ofWorker =
@@ -59,7 +63,8 @@
                     OWNERSHIP_EVENTS.contains(line.event())
                             && (pools.contains(line.get("pool"))
                                     || pools.contains(line.get("duty").replace("pool.", "")));
-            if (line.concerns(submission) || during && (ofWorker || ofOwner)) {
+            boolean ofCap = trace.capLines.contains(line);
+            if (line.concerns(submission) || ofCap || during && (ofWorker || ofOwner)) {
                 trace.lines.add(line);
             }
         }
@@ -67,6 +72,35 @@
         return Optional.of(trace);
     }
 
+    /**
+     * Returns the customer of a submission. Calls that were not successful do not count: they may
+     * be those of another customer that used the same id.
+     */
+    private static Optional<String> customer(List<LogLine> own) {
+        return own.stream()
+                .filter(l -> l.event().equals("request-answered") && l.get("status").equals("200"))
+                .map(l -> l.get("customer"))
+                .filter(c -> !c.isEmpty() && !c.equals("-"))
+                .findFirst();
+    }
+
+    /** Adds the waits between the acceptance of a submission and its end. */
+    private void addCapWaits(List<CapWait> waits, List<LogLine> own) {
+        String accepted = firstTime(own, "submission-accepted").orElse(own.get(0).time());
+        Optional<String> ended = firstTime(own, "submission-ended");
+        for (CapWait wait : waits) {
+            if (wait.overlaps(accepted, ended)) {
+                capWaits.add(wait);
+                capLines.add(wait.started());
+                wait.ended().ifPresent(capLines::add);
+            }
+        }
+    }
+
+    private static Optional<String> firstTime(List<LogLine> lines, String event) {
+        return lines.stream().filter(l -> l.event().equals(event)).map(LogLine::time).findFirst();
+    }
+
     List<LogLine> lines() {
         return lines;
     }
@@ -89,6 +123,7 @@
                         findings.add(
                                 "worker %s did not respond; tasks waited for its leases to expire"
                                         .formatted(line.get("worker")));
+                case "cap-wait-started" -> addCapWait(line);
                 case "duty-gained" ->
                         findings.add(
                                 "the owner of the pool changed at %s (term %s)"
@@ -135,6 +170,13 @@
         }
     }
 
+    private void addCapWait(LogLine line) {
+        Optional<String> firstRun = firstTime(lines, "run-ordered");
+        capWaits.stream()
+                .filter(w -> w.started().equals(line))
+                .forEach(w -> findings.add(w.describe(firstRun)));
+    }
+
     private void addSettlement(LogLine line) {
         if (line.get("fenced").equals("false")) {
             findings.add(
