Give the hosts that tasks without room need before those of surges

Such a pool is now served first, by whole hosts, and gives none.

Two bounds come with it. Batch tasks that fit beside no long-running task count for one host together: 200 submissions of one such task each asked for 200 hosts. A pool without any worker lacks one host, since the sums do not ask for one if its tasks are small.

--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/HostAssignment.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/HostAssignment.java
@@ -26,6 +26,24 @@
         this.spareHosts = spareHosts;
     }
 
+    /**
+     * Gives hosts to the pools that have no room for some task.
+     *
+     * @param lacking the number of hosts that each such pool lacks
+     */
+    void fillLacking(Map<ServiceId, Integer> lacking, List<HostView> donors) {
+        lacking.forEach(
+                (pool, hosts) -> {
+                    int left = hosts;
+                    for (HostView host : donors) {
+                        if (left == 0) {
+                            return;
+                        }
+                        left -= give(host, pool, false) ? 1 : 0;
+                    }
+                });
+    }
+
     /** Gives hosts to the pools that lack cores, the one that lacks most first. */
     void fill(List<HostView> donors, boolean onlySpare) {
         List<ServiceId> pools = new ArrayList<>(surplus.keySet());
@@ -39,22 +57,29 @@
             if (-surplus.get(pool) < MIN_LACK_HOSTS * cores) {
                 return;
             }
-            if (host.pool().equals(pool) || taken.contains(host.host())) {
-                continue;
-            }
-            if (!host.standby()) {
-                double surplusLeft = surplus(host.pool()) - cores;
-                boolean spare = hasSpareHost(host.pool());
-                if (surplusLeft < PoolBalancer.RESERVE_HOSTS * cores || onlySpare && !spare) {
-                    continue;
-                }
-                spareHosts.merge(host.pool(), -1, Integer::sum);
-                surplus.merge(host.pool(), -cores, Double::sum);
+            give(host, pool, onlySpare);
+        }
+    }
+
+    /** Moves a host if its pool can do without it; returns whether it did. */
+    private boolean give(HostView host, ServiceId to, boolean onlySpare) {
+        if (host.pool().equals(to) || taken.contains(host.host())) {
+            return false;
+        }
+        double cores = PoolBalancer.cores(host);
+        if (!host.standby()) {
+            double surplusLeft = surplus(host.pool()) - cores;
+            boolean spare = hasSpareHost(host.pool());
+            if (surplusLeft < PoolBalancer.RESERVE_HOSTS * cores || onlySpare && !spare) {
+                return false;
             }
-            taken.add(host.host());
-            surplus.merge(pool, cores, Double::sum);
-            moves.add(new Move(host.host(), pool));
+            spareHosts.merge(host.pool(), -1, Integer::sum);
+            surplus.merge(host.pool(), -cores, Double::sum);
         }
+        taken.add(host.host());
+        surplus.merge(to, cores, Double::sum);
+        moves.add(new Move(host.host(), to));
+        return true;
     }
 
     /** Moves a host that its pool does not need to standby. */
--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolBalancer.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolBalancer.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.ToDoubleFunction;
 import org.crocusgrade.core.id.HostId;
 import org.crocusgrade.core.id.ServiceId;
@@ -28,7 +30,8 @@
  *
  * <p>The sums do not show a task that no host of the pool has room for, because of a limit per
  * worker or since each host has some memory left, but none enough. The owner reports how many hosts
- * such tasks need; until they are on their way, the pool's target is above what it has.
+ * such tasks need. The pool gets them before all others, since such a task would wait however long
+ * the surges of others last, and gives none meanwhile.
  *
  * <p>Pools below their target get hosts from the standby pool first, then from pools above their
  * target, idle hosts first; hosts with long-running tasks stay. What arrives comes before late work
@@ -120,25 +123,25 @@
             ServiceId pool = need.pool();
             double capacity = capacity(pool, hosts, incoming);
             double target = target(need, capacity, standbyCores, now);
-            double mostSpare = mostSpare(need, hosts, incoming);
-            double spare = Math.min(capacity - target, mostSpare);
-            double caughtUp = Math.min(capacity - target - catchUp(need, now), mostSpare);
-            surplus.put(pool, spare);
-            catchUp.put(pool, spare - caughtUp);
-            targets.put(pool, capacity - caughtUp);
+            surplus.put(pool, capacity - target);
+            catchUp.put(pool, catchUp(need, now));
+            targets.put(pool, target + catchUp.get(pool));
         }
+        Set<ServiceId> givers = new HashSet<>(needs.keySet());
+        givers.removeIf(p -> needs.get(p).lackingHosts() > 0);
         lastHosts = hosts;
         lastNeeds = needs;
         lastIncoming = incoming;
         lastTargets = targets;
         Map<ServiceId, Integer> spareHosts = spareHosts(now, hosts, needs.keySet(), incoming);
         HostAssignment assignment = new HostAssignment(surplus, spareHosts);
-        assignment.fill(donors(now, hosts, needs.keySet(), surplus), false);
+        assignment.fillLacking(lacking(needs, incoming), donors(now, hosts, givers, surplus));
+        assignment.fill(donors(now, hosts, givers, surplus), false);
         catchUp.forEach((pool, c) -> surplus.merge(pool, -c, Double::sum));
-        assignment.fill(donors(now, hosts, needs.keySet(), surplus), true);
+        assignment.fill(donors(now, hosts, givers, surplus), true);
         standbyPools.stream()
                 .min(Comparator.naturalOrder())
-                .ifPresent(p -> moveIdleToStandby(now, p, hosts, needs, assignment));
+                .ifPresent(p -> moveIdleToStandby(now, p, hosts, givers, assignment));
         return assignment.moves();
     }
 
@@ -251,17 +254,17 @@
         return cores + incoming.getOrDefault(pool, 0) * largestCores(hosts);
     }
 
-    /**
-     * Returns the most that a pool can spare, in cores, if tasks have no room on its present hosts:
-     * the hosts on their way to it above those that it lacks. Negative if it needs more.
-     */
-    private static double mostSpare(
-            PoolNeed need, List<HostView> hosts, Map<ServiceId, Integer> incoming) {
-        if (need.lackingHosts() == 0) {
-            return Double.POSITIVE_INFINITY;
+    /** Returns the hosts that the pools lack beside those on their way. */
+    private static Map<ServiceId, Integer> lacking(
+            Map<ServiceId, PoolNeed> needs, Map<ServiceId, Integer> incoming) {
+        Map<ServiceId, Integer> lacking = new TreeMap<>();
+        for (PoolNeed need : needs.values()) {
+            int hosts = need.lackingHosts() - incoming.getOrDefault(need.pool(), 0);
+            if (hosts > 0) {
+                lacking.put(need.pool(), hosts);
+            }
         }
-        int spareHosts = incoming.getOrDefault(need.pool(), 0) - need.lackingHosts();
-        return spareHosts * largestCores(hosts);
+        return lacking;
     }
 
     private static double largestCores(List<HostView> hosts) {
@@ -302,7 +305,7 @@
             double now,
             ServiceId standby,
             List<HostView> hosts,
-            Map<ServiceId, PoolNeed> needs,
+            Set<ServiceId> givers,
             HostAssignment assignment) {
         if (!assignment.moves().isEmpty()) {
             return;
@@ -317,7 +320,7 @@
             boolean idle =
                     host.state() == State.UP
                             && !host.standby()
-                            && needs.containsKey(pool)
+                            && givers.contains(pool)
                             && !assignment.isTaken(host.host())
                             && now - idleSince.getOrDefault(host.host(), now) > rules.idleSeconds();
             if (!idle || assignment.surplus(pool) < (1 + RESERVE_HOSTS) * cores(host)) {
--- a/core/src/main/java/org/crocusgrade/core/schedule/HostShortage.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/HostShortage.java
@@ -16,10 +16,11 @@
  * or two, loses a worker. The sums of the pool's processors and memory still suffice, so they show
  * no need for another host, but the task has nowhere to run.
  *
- * <p>Tasks of batch submissions count only if no worker could take them even without other batch
- * tasks: otherwise they get room when those end. Long-running tasks never end, so they count as
- * soon as no worker has room now. Tasks on evacuating workers count as far as the step may have
- * tasks unavailable, since they stay where they are until there is room elsewhere.
+ * <p>Long-running tasks count as soon as no worker has room now, since those beside them never end.
+ * Tasks of batch submissions count only if no worker could take them even without other batch
+ * tasks, and together for one host: they can run there one after another. Tasks on evacuating
+ * workers count as far as the step may have tasks unavailable, since they stay where they are until
+ * there is room elsewhere.
  *
  * <p>Worked case: a step of 24 long-running tasks, at most one per worker, has 23 running on 23
  * workers that use a third of their processors. It lacks one host, whatever is free on the 23.
@@ -31,6 +32,10 @@
 public record HostShortage(int hosts, int tasks, Optional<StepId> step) {
     public static final HostShortage NONE = new HostShortage(0, 0, Optional.empty());
 
+    /** Stands for a host of which nothing is known, with room for any number of tasks. */
+    private static final Resources UNKNOWN_CAPACITY =
+            new Resources(Long.MAX_VALUE / 2, Long.MAX_VALUE / 2, Integer.MAX_VALUE / 2);
+
     /** Checks the fields. */
     public HostShortage {
         if (hosts < 0 || tasks < 0) {
@@ -53,10 +58,9 @@
                 if (spec.gang() || spec.opportunistic()) {
                     continue;
                 }
-                int startable = starts.startableWithinLimit(step, now);
                 if (spec.longRunning()) {
-                    count.addLongRunning(step, startable);
-                } else if (startable > 0) {
+                    count.addLongRunning(step, starts.startableWithinLimit(step, now));
+                } else if (!count.hasBatch() && !starts.isAtLimit(step)) {
                     count.addBatch(step);
                 }
             }
@@ -69,6 +73,8 @@
         private final PoolState pool;
         private final long now;
         private final List<AddedHost> added = new ArrayList<>();
+        private final List<Room> roomForBatch = new ArrayList<>();
+        private boolean batch;
         private int tasks;
         private Optional<StepId> first = Optional.empty();
 
@@ -98,18 +104,34 @@
             add(step, waiting - (int) room);
         }
 
+        boolean hasBatch() {
+            return batch;
+        }
+
         /** Adds one task of a batch step that fits beside the long-running tasks of no worker. */
         void addBatch(TrackedStep step) {
-            Resources each = step.spec().reserved();
-            for (WorkerNode worker : pool.workers().values()) {
-                boolean lasts = !worker.isDraining() && !worker.isEvacuating();
-                if (lasts
-                        && Placer.hasLabel(worker, step.spec())
-                        && each.fitsIn(worker.capacity().minus(worker.longRunningReserved()))) {
+            if (!step.hasStartable(now)) {
+                return;
+            }
+            if (roomForBatch.isEmpty()) {
+                measureRoomForBatch();
+            }
+            StepSpec spec = step.spec();
+            for (Room room : roomForBatch) {
+                if (spec.reserved().fitsIn(room.free) && Placer.hasLabel(room.worker, spec)) {
                     return;
                 }
             }
-            add(step, 1);
+            batch = add(step, 1);
+        }
+
+        private void measureRoomForBatch() {
+            for (WorkerNode worker : pool.workers().values()) {
+                if (!worker.isDraining() && !worker.isEvacuating()) {
+                    Resources free = worker.capacity().minus(worker.longRunningReserved());
+                    roomForBatch.add(new Room(worker, free));
+                }
+            }
         }
 
         /** Returns how many tasks may leave evacuating workers as soon as they have room. */
@@ -128,35 +150,38 @@
             return Math.max(0, Math.min(leaving, allowed));
         }
 
-        private void add(TrackedStep step, int lacking) {
+        /** Returns whether other hosts would help the tasks, which are then counted. */
+        private boolean add(TrackedStep step, int lacking) {
             Optional<Resources> capacity = hostCapacity(step.spec());
             if (capacity.isEmpty()) {
-                return;
+                return false;
             }
             tasks += lacking;
             first = first.or(() -> Optional.of(step.id()));
-            for (int i = 0; i < lacking; i++) {
-                place(step, capacity.get());
-            }
-        }
-
-        private void place(TrackedStep step, Resources capacity) {
-            for (AddedHost host : added) {
-                if (host.take(step)) {
-                    return;
+            int host = 0;
+            int left = lacking;
+            while (left > 0) {
+                if (host == added.size()) {
+                    added.add(new AddedHost(capacity.get()));
+                }
+                if (added.get(host).take(step)) {
+                    left--;
+                } else {
+                    host++;
                 }
             }
-            AddedHost host = new AddedHost(capacity);
-            host.take(step);
-            added.add(host);
+            return true;
         }
 
         /**
          * Returns the capacity to expect of another host; empty if fewer than half of the workers
          * could take a task of the step. Without that bound, a pool would collect hosts that are of
-         * no use to the step.
+         * no use to the step. A pool without workers gets one to learn from.
          */
         private Optional<Resources> hostCapacity(StepSpec spec) {
+            if (pool.workers().isEmpty()) {
+                return added.isEmpty() ? Optional.of(UNKNOWN_CAPACITY) : Optional.empty();
+            }
             Optional<Resources> capacity = Optional.empty();
             int suitable = 0;
             for (WorkerNode worker : pool.workers().values()) {
@@ -169,6 +194,9 @@
         }
     }
 
+    /** What a worker has beside its long-running tasks. */
+    private record Room(WorkerNode worker, Resources free) {}
+
     /** A host that the pool does not have yet, and the tasks that it would take. */
     private static final class AddedHost {
         private Resources free;
@@ -179,7 +207,7 @@
             free = capacity;
         }
 
-        /** Takes a task if there is room; tasks of one step must be added one after another. */
+        /** Takes a task if there is room; tasks of one step must be taken one after another. */
         boolean take(TrackedStep next) {
             StepSpec spec = next.spec();
             if (!step.equals(Optional.of(next.id()))) {
--- a/core/src/test/java/org/crocusgrade/core/fleet/plan/PoolBalancerTest.java
+++ b/core/src/test/java/org/crocusgrade/core/fleet/plan/PoolBalancerTest.java
@@ -1,6 +1,7 @@
 package org.crocusgrade.core.fleet.plan;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.hasSize;
@@ -77,6 +78,18 @@
         assertThat(decideWithIncoming(2), empty());
     }
 
+    /** Guards against a surge that takes every host, so that a task without room waits on. */
+    @Test
+    void poolWithATaskWithoutRoomIsServedBeforeALargerLack() {
+        add("s", STANDBY, 3, 0, 0);
+        add("c", CALM, 3, 1, 1);
+        add("h", HOT, 2, 4, 0);
+        need(HOT, 300);
+        needs.put(CALM, new PoolNeed(CALM, 3, 0, 0, 0, 0, 0, 1));
+        List<ServiceId> to = decideAfterDwell().stream().map(PoolBalancer.Move::to).toList();
+        assertThat(to, containsInAnyOrder(CALM, HOT, HOT));
+    }
+
     /** Guards against an empty host that leaves while a task of its pool waits for one. */
     @Test
     void poolThatLacksAHostGivesNone() {
--- a/core/src/test/java/org/crocusgrade/core/schedule/HostShortageTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/HostShortageTest.java
@@ -61,6 +61,18 @@
         assertThat(shortage().hosts(), is(1));
     }
 
+    /** Guards against a host for each of many submissions that could share one. */
+    @Test
+    void batchTasksWithoutRoomLackOneHostTogether() {
+        pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(1, 20_000).longRunning(0).build());
+        for (int i = 0; i < 50; i++) {
+            pool.submit(false, new StepBuilder(1, 20_000).build());
+        }
+        assertThat(pool.startAll(), hasSize(1));
+        assertThat(shortage().hosts(), is(1));
+    }
+
     /** Guards against maintenance that waits because no other worker has room. */
     @Test
     void taskOnAnEvacuatingWorkerLacksAHostIfItMayBeUnavailable() {
--- a/core/src/test/java/org/crocusgrade/core/schedule/HostsForLongRunningTasksTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/HostsForLongRunningTasksTest.java
@@ -53,6 +53,13 @@
         assertThat(movesAfterDwell(), empty());
     }
 
+    /** Guards against a task that is too small to make up for the hosts of a pool that lost all. */
+    @Test
+    void poolWithoutWorkersGetsAHost() {
+        pool.submit(false, new StepBuilder(1, 1000).longRunning(0).build());
+        assertThat(movesAfterDwell(), contains(Pool.SERVICE));
+    }
+
     private WorkerNode startOnThreeWorkers(StepBuilder step) {
         pool.worker("w1", "r1");
         pool.worker("w2", "r2");
