Keep the room for which a long-running task is stopped until it runs there

Cause: the planner looked for room elsewhere, but claimed none. While a task stopped, other tasks of its step counted on the same place, batch tasks could take it, and the host counted as empty for the fleet.

The worker now keeps the room for up to 2 s (RoomClaims): it counts as used for all other tasks and against the limit per worker, and the worker is reported as one with long-running tasks. A task whose place is gone counts as one that lacks a host.

--- a/core/src/main/java/org/crocusgrade/core/schedule/HostShortage.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/HostShortage.java
@@ -88,7 +88,7 @@
         }
 
         void addLongRunning(TrackedStep step, int startable) {
-            int waiting = startable + evacuable(step);
+            int waiting = withoutClaim(step, startable) + evacuable(step);
             if (waiting == 0) {
                 return;
             }
@@ -134,6 +134,30 @@
             }
         }
 
+        /**
+         * Returns how many tasks need room that no worker keeps for them: startable ones, and those
+         * that are being stopped on a worker that takes no runs.
+         */
+        private int withoutClaim(TrackedStep step, int startable) {
+            int kept = 0;
+            int stopping = 0;
+            for (Task task : step.tasks()) {
+                boolean claimed = pool.claimOf(task, now).isPresent();
+                if (task.isStartable(now)) {
+                    kept += claimed ? 1 : 0;
+                    continue;
+                }
+                boolean leaves =
+                        task.placements().stream()
+                                .anyMatch(
+                                        p ->
+                                                p.phase() == Phase.STOPPING
+                                                        && !p.worker().acceptsRuns(now));
+                stopping += leaves && !claimed && !task.isOver() ? 1 : 0;
+            }
+            return Math.max(0, startable - kept) + stopping;
+        }
+
         /** Returns how many tasks may leave evacuating workers as soon as they have room. */
         private int evacuable(TrackedStep step) {
             int leaving = 0;
--- a/core/src/main/java/org/crocusgrade/core/schedule/Placer.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placer.java
@@ -76,6 +76,7 @@
     Placement place(Task task, WorkerNode worker, long run, long now) {
         Placement placement = new Placement(task, worker, run, task.checkpoint(), now);
         placement.setTicket(task.step().advice().ticket(worker, now));
+        task.releaseClaim();
         worker.add(placement);
         task.recordRun(run);
         onPlacementsChanged();
@@ -114,8 +115,8 @@
     }
 
     /**
-     * Returns the most processors that are free on one worker, in thousandths of a core. Valid
-     * within a planning round.
+     * Returns the most processors that are free or kept for a task on one worker, in thousandths of
+     * a core. Valid within a planning round.
      */
     long maxFreeMilliCores(long now) {
         if (maxFreeMilliCores.isPresent()) {
@@ -124,7 +125,7 @@
         long max = 0;
         for (WorkerNode worker : pool.workers().values()) {
             if (worker.acceptsRuns(now) && !reserved.contains(worker)) {
-                max = Math.max(max, worker.free().milliCores());
+                max = Math.max(max, worker.unused().milliCores());
             }
         }
         maxFreeMilliCores = OptionalLong.of(max);
@@ -151,6 +152,10 @@
     }
 
     private Optional<WorkerNode> choose(Task task, long now, Predicate<WorkerNode> filter) {
+        Optional<WorkerNode> claimed = pool.claimOf(task, now);
+        if (claimed.isPresent() && mayTake(claimed.get(), task, now)) {
+            return claimed;
+        }
         TrackedStep step = task.step();
         boolean ticketNeeded = needsTicket(step);
         boolean avoids =
@@ -209,13 +214,13 @@
         if (!worker.acceptsRuns(now) || reserved.contains(worker)) {
             return false;
         }
-        if (!spec.reserved().fitsIn(worker.free()) || !hasLabel(worker, spec)) {
+        if (!spec.reserved().fitsIn(worker.freeFor(task)) || !hasLabel(worker, spec)) {
             return false;
         }
         if (worker.placement(task.id()).isPresent()) {
             return false;
         }
-        return !isAtLimit(worker, step);
+        return worker.claims().contains(task) || !isAtLimit(worker, step);
     }
 
     /**
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolState.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolState.java
@@ -112,6 +112,13 @@
         return workers;
     }
 
+    /** Returns the worker of the pool that keeps room for a task, if it accepts runs. */
+    Optional<WorkerNode> claimOf(Task task, long now) {
+        return task.claimedOn()
+                .filter(w -> workers.get(w.id()) == w)
+                .filter(w -> w.claims().contains(task) && w.acceptsRuns(now));
+    }
+
     /** Returns what is free on the workers that accept runs. */
     Resources free(long now) {
         Resources sum = Resources.NONE;
--- a/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
@@ -51,6 +51,12 @@
      */
     private static final long IDLE_NANOS = 2_000_000_000L;
 
+    /**
+     * How long a worker keeps room for a task that is being stopped elsewhere, in nanoseconds: two
+     * stop orders without an answer, and the report of the end.
+     */
+    private static final long CLAIM_NANOS = 2_000_000_000L;
+
     /** How long a long-running task may take to reach its full share, in nanoseconds. */
     private static final long SETTLE_NANOS = 2_500_000_000L;
 
@@ -94,6 +100,7 @@
     List<Order> plan(long now, int room) {
         List<Order> orders = new ArrayList<>();
         unwantedStopNanos.values().removeIf(sent -> now - sent >= RETRY_NANOS);
+        pool.workers().values().forEach(w -> w.claims().expire(now));
         for (WorkerNode worker : pool.workers().values()) {
             for (RunId run : reports.unwanted(worker)) {
                 if (orders.size() < room && unwantedStopNanos.putIfAbsent(run, now) == null) {
@@ -143,6 +150,8 @@
         if (mayEvacuate(placement, now)) {
             boolean draining = placement.worker().isDraining();
             placement.requireStop(draining ? StopReason.DRAINING : StopReason.EVACUATED, now);
+            Task task = placement.task();
+            placer.choose(task, now).ifPresent(w -> task.claim(w, now + CLAIM_NANOS));
             return;
         }
         if (isStalled(placement)) {
--- a/core/src/main/java/org/crocusgrade/core/schedule/Task.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Task.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SortedSet;
 import java.util.TreeSet;
@@ -25,6 +26,7 @@
     private long failedNanos;
     private boolean done;
     private int stalls;
+    private Optional<WorkerNode> claimedOn = Optional.empty();
     private long lastRun;
     private String checkpoint = "";
     private long notBeforeNanos = Long.MIN_VALUE;
@@ -74,6 +76,23 @@
         checkpoint = saved;
     }
 
+    /** Keeps room for the task on the worker that is to run it next. */
+    void claim(WorkerNode worker, long untilNanos) {
+        releaseClaim();
+        worker.claims().add(this, untilNanos);
+        claimedOn = Optional.of(worker);
+    }
+
+    void releaseClaim() {
+        claimedOn.ifPresent(w -> w.claims().remove(this));
+        claimedOn = Optional.empty();
+    }
+
+    /** Returns the worker that was last asked to keep room for the task. */
+    Optional<WorkerNode> claimedOn() {
+        return claimedOn;
+    }
+
     /** Returns the runs that may still be active. */
     List<Placement> placements() {
         return placements;
--- a/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
@@ -29,6 +29,7 @@
     private final Resources capacity;
     private final Map<TaskId, Placement> placements = new LinkedHashMap<>();
     private final Deque<PendingEnd> pendingEnds = new ArrayDeque<>();
+    private final RoomClaims claims = new RoomClaims();
     private Resources used = Resources.NONE;
     private boolean usable;
     private boolean silent;
@@ -96,11 +97,31 @@
         return capacity;
     }
 
-    /** Returns the capacity that no run has reserved. */
+    /** Returns the capacity that neither a run nor a claim has reserved. */
     public Resources free() {
+        return unused().minus(claims.reserved());
+    }
+
+    /** Returns the capacity that no run has reserved. */
+    Resources unused() {
         return capacity.minus(used);
     }
 
+    /** Returns the capacity that a task may use: what is free, and what it has claimed. */
+    Resources freeFor(Task task) {
+        return claims.contains(task) ? free().plus(task.step().spec().reserved()) : free();
+    }
+
+    /** Returns the room kept for tasks that are being stopped elsewhere. */
+    RoomClaims claims() {
+        return claims;
+    }
+
+    /** Returns how many long-running tasks are being stopped elsewhere to continue here. */
+    public int expectedTasks() {
+        return evacuating || draining ? 0 : claims.size();
+    }
+
     /** Returns the runs that may be active. */
     public Collection<Placement> placements() {
         return placements.values();
@@ -330,8 +351,9 @@
         return placement.task().step().spec().demand();
     }
 
+    /** Returns how many tasks of a step run here or have claimed room. */
     int tasksOf(StepId step) {
-        int count = 0;
+        int count = claims.tasksOf(step);
         for (TaskId task : placements.keySet()) {
             if (task.step().equals(step)) {
                 count++;
--- a/core/src/test/java/org/crocusgrade/core/schedule/HostShortageTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/HostShortageTest.java
@@ -87,6 +87,39 @@
         assertThat(shortage(), is(HostShortage.NONE));
     }
 
+    /** Guards against a place that counts for a task that stops and for another as well. */
+    @Test
+    void placeOfATaskThatStopsIsNoRoomForAnother() {
+        WorkerNode first = pool.worker("w1", "r1");
+        WorkerNode second = pool.worker("w2", "r2");
+        pool.submit(false, new StepBuilder(2, 1000).maxPerWorker(1).longRunning(2).build());
+        pool.startAll();
+        pool.report(first);
+        pool.report(second);
+        first.setEvacuating(true);
+        pool.worker("w3", "r3");
+        pool.plan();
+        assertThat(shortage(), is(HostShortage.NONE));
+        second.setEvacuating(true);
+        assertThat(shortage().hosts(), is(1));
+    }
+
+    /** Guards against a task that stops for a place which is then taken away. */
+    @Test
+    void taskThatStopsLacksAHostIfItsPlaceIsGone() {
+        WorkerNode leaving = pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(1, 1000).maxPerWorker(1).longRunning(1).build());
+        pool.startAll();
+        pool.report(leaving);
+        leaving.setEvacuating(true);
+        WorkerNode other = pool.worker("w2", "r2");
+        pool.plan();
+        assertThat(shortage(), is(HostShortage.NONE));
+        other.setEvacuating(true);
+        assertThat(other.expectedTasks(), is(0));
+        assertThat(shortage().hosts(), is(1));
+    }
+
     /** Guards against hosts for tasks that a former owner may have started elsewhere. */
     @Test
     void nothingIsLackingBeforeThePoolIsSettled() {
--- a/core/src/test/java/org/crocusgrade/core/schedule/LongRunningTasksTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/LongRunningTasksTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
 
 import java.time.Duration;
 import java.util.List;
@@ -48,6 +49,79 @@
         assertThat(other.placements(), empty());
     }
 
+    /** Guards against several tasks that stop for the same room, so that all but one wait. */
+    @Test
+    void roomForOneTaskLetsOnlyOneLeave() {
+        WorkerNode leaving = pool.worker("w1", "r1");
+        StepBuilder step = new StepBuilder(2, 1000).longRunning(2).maxPerWorker(2);
+        pool.submit(false, step.memoryMb(60_000).build());
+        assertThat(pool.startAll(), hasSize(2));
+        pool.report(leaving);
+        WorkerNode small = pool.worker("w2", "r2");
+        pool.submit(false, new StepBuilder(1, 1000).memoryMb(60_000).longRunning(0).build());
+        assertThat(pool.startAll(), hasSize(1));
+        pool.report(small);
+        leaving.setEvacuating(true);
+        assertThat(pool.stops(), hasSize(1));
+        assertThat(pool.stops(), empty());
+    }
+
+    /** Guards against a batch task that takes the room for which a task was stopped. */
+    @Test
+    void roomOfATaskThatStopsIsKeptForIt() {
+        WorkerNode leaving = pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(1, 20_000).longRunning(1).build());
+        assertThat(pool.startAll(), hasSize(1));
+        pool.report(leaving);
+        WorkerNode other = pool.worker("w2", "r2");
+        leaving.setEvacuating(true);
+        Placement stopped = pool.stops().get(0).placement().orElseThrow();
+        assertThat(other.expectedTasks(), is(1));
+        pool.submit(false, new StepBuilder(1, 20_000).build());
+        assertThat(pool.startAll(), empty());
+        pool.scheduler.onStopAnswer(stopped, true, pool.now());
+        pool.report(leaving, end(1, stopped, Result.STOPPED));
+        pool.advance(Duration.ofMillis(200));
+        Placement started = pool.startAll().get(0);
+        assertThat(started.task(), is(stopped.task()));
+        assertThat(started.worker(), is(other));
+        assertThat(other.expectedTasks(), is(0));
+    }
+
+    /** Guards against room that is kept for good if the stop of a task gets no answer. */
+    @Test
+    void roomIsNotKeptLongerThanAStopTakes() {
+        WorkerNode leaving = pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(1, 20_000).longRunning(1).build());
+        pool.startAll();
+        pool.report(leaving);
+        pool.worker("w2", "r2");
+        leaving.setEvacuating(true);
+        assertThat(pool.stops(), hasSize(1));
+        pool.submit(false, new StepBuilder(1, 20_000).build());
+        pool.advance(Duration.ofSeconds(3));
+        assertThat(pool.startAll(), hasSize(1));
+    }
+
+    /** Guards against a start on a worker that has left the pool. */
+    @Test
+    void roomOnAWorkerThatIsGoneIsNotUsed() {
+        WorkerNode leaving = pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(1, 20_000).longRunning(1).build());
+        pool.startAll();
+        pool.report(leaving);
+        WorkerNode other = pool.worker("w2", "r2");
+        leaving.setEvacuating(true);
+        Placement stopped = pool.stops().get(0).placement().orElseThrow();
+        pool.scheduler.removeWorker(other);
+        pool.scheduler.onStopAnswer(stopped, true, pool.now());
+        pool.report(leaving, end(1, stopped, Result.STOPPED));
+        pool.advance(Duration.ofMillis(200));
+        assertThat(pool.startAll(), empty());
+        WorkerNode third = pool.worker("w3", "r3");
+        assertThat(pool.startAll().get(0).worker(), is(third));
+    }
+
     @Test
     void newOwnerMovesNoLongRunningTaskWhileStopsOfFormerOwnerTakeEffect() {
         WorkerNode leaving = pool.worker("w1", "r1");
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -137,8 +137,8 @@
         return WorkerStatusMessage.newBuilder()
                 .setWorker(node.id().value())
                 .setFreeMilliCores((int) Math.max(0, node.free().milliCores()))
-                .setRunning(node.placements().size())
-                .setLongRunning(node.longRunning())
+                .setRunning(node.placements().size() + node.expectedTasks())
+                .setLongRunning(node.longRunning() + node.expectedTasks())
                 .setEvacuating(node.isEvacuating())
                 .build();
     }
