Drop messages to other daemons after the link was stopped

At the end of a stop, operators saw a SEVERE line "unexpected" with "RejectedExecutionException: event executor terminated". The daemon's periodic work continues until the process exits, and its messages were handed to the threads of a link that had ended.

A stopped link now drops messages and counts them, as it does for a peer that cannot be reached.

The new test failed before:

PeerNodeTest.messageAfterTheStopIsCountedAsDropped RejectedExecution event executor terminated

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import org.crocusgrade.core.config.PoolPolicy;
@@ -149,11 +151,13 @@
         }
     }
 
-    /** Closes the connections to other daemons. */
-    public void stop() {
-        if (peers != null) {
-            peers.stop();
-        }
+    /**
+     * Closes the connections to other daemons; must be called on the loop.
+     *
+     * @return completes when the connections are closed
+     */
+    public CompletionStage<Void> stop() {
+        return peers == null ? CompletableFuture.completedStage(null) : peers.stop();
     }
 
     // Joining the other daemons.
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PeerRpc.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PeerRpc.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.crocusgrade.core.id.BootId;
@@ -68,8 +69,8 @@
         return link.start(listen);
     }
 
-    void stop() {
-        link.stop();
+    CompletionStage<Void> stop() {
+        return link.stop();
     }
 
     /**
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
@@ -15,6 +15,8 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import org.crocusgrade.core.id.BootId;
 import org.crocusgrade.core.id.CustomerId;
@@ -387,8 +389,8 @@
         }
 
         @Override
-        public void stop() {
-            // Nothing to close.
+        public CompletionStage<Void> stop() {
+            return CompletableFuture.completedStage(null); // Nothing to close.
         }
     }
 }
--- a/peer/src/main/java/org/crocusgrade/peer/OutgoingPeer.java
+++ b/peer/src/main/java/org/crocusgrade/peer/OutgoingPeer.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.crocusgrade.peer.proto.Envelope;
@@ -33,7 +34,12 @@
     }
 
     void send(Envelope message) {
-        loop.execute(() -> sendInLoop(message));
+        try {
+            loop.execute(() -> sendInLoop(message));
+        } catch (RejectedExecutionException e) {
+            // The node was stopped by another thread during this call.
+            node.listener().onDrop(FrameDropReason.UNREACHABLE);
+        }
     }
 
     void close() {
--- a/peer/src/main/java/org/crocusgrade/peer/PeerLink.java
+++ b/peer/src/main/java/org/crocusgrade/peer/PeerLink.java
@@ -1,6 +1,7 @@
 package org.crocusgrade.peer;
 
 import java.net.InetSocketAddress;
+import java.util.concurrent.CompletionStage;
 import org.crocusgrade.core.id.DaemonId;
 import org.crocusgrade.peer.proto.Envelope;
 
@@ -26,6 +27,10 @@
     /** Sends a message, or drops it; does not block. */
     void send(DaemonId to, Envelope message);
 
-    /** Closes every connection. */
-    void stop();
+    /**
+     * Closes every connection; messages that are sent later are dropped.
+     *
+     * @return completes when all connections are closed
+     */
+    CompletionStage<Void> stop();
 }
--- a/peer/src/main/java/org/crocusgrade/peer/PeerNode.java
+++ b/peer/src/main/java/org/crocusgrade/peer/PeerNode.java
@@ -18,6 +18,8 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.crocusgrade.core.id.BootId;
@@ -54,6 +56,7 @@
     private final Map<DaemonId, InetSocketAddress> addresses = new ConcurrentHashMap<>();
     private final Map<DaemonId, OutgoingPeer> outgoing = new ConcurrentHashMap<>();
     private Channel server;
+    private volatile boolean stopped;
 
     /**
      * Creates a node; {@link #start} makes it listen.
@@ -122,6 +125,10 @@
     /** Sends a message, or drops and counts it. */
     @Override
     public void send(DaemonId to, Envelope message) {
+        if (stopped) {
+            listener.onDrop(FrameDropReason.UNREACHABLE);
+            return;
+        }
         InetSocketAddress address = addresses.get(to);
         if (address == null) {
             listener.onDrop(FrameDropReason.NO_ADDRESS);
@@ -132,12 +139,17 @@
 
     /** Closes every connection and stops the threads. */
     @Override
-    public void stop() {
+    public CompletionStage<Void> stop() {
+        stopped = true;
         if (server != null) {
             server.close();
         }
         outgoing.keySet().forEach(this::removeConnection);
-        eventLoops.shutdownGracefully(0, STOP_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        eventLoops
+                .shutdownGracefully(0, STOP_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                .addListener(f -> closed.complete(null));
+        return closed;
     }
 
     /**
--- a/peer/src/test/java/org/crocusgrade/peer/PeerNodeTest.java
+++ b/peer/src/test/java/org/crocusgrade/peer/PeerNodeTest.java
@@ -82,6 +82,20 @@
         assertThat(recorder.drops.poll(), is(FrameDropReason.NO_ADDRESS));
     }
 
+    /** Guards against exceptions in periodic senders that run until the process exits. */
+    @Test
+    void messageAfterTheStopIsCountedAsDropped() throws Exception {
+        RecordingListener recorder = new RecordingListener();
+        InetSocketAddress address = start("b", KEY, new RecordingListener()).address;
+        PeerNode sender = start("a", KEY, recorder).node;
+        sender.setAddress(new DaemonId("b"), address);
+        sender.send(new DaemonId("b"), message("m"));
+        sender.stop().toCompletableFuture().get(WAIT_SECONDS, TimeUnit.SECONDS);
+        recorder.drops.clear();
+        sender.send(new DaemonId("b"), message("m"));
+        assertThat(recorder.drops.poll(), is(FrameDropReason.UNREACHABLE));
+    }
+
     private Started start(String name, String key, RecordingListener recorder)
             throws PeerException {
         PeerKey peerKey = new PeerKey(key.getBytes(StandardCharsets.UTF_8));
