Write the last log lines before a daemon exits

The process is halted at the end of a stop, and its log is written by a thread of its own. Only the fixed pauses of the former stop gave that thread time to write the last lines. No lost line was seen.

--- a/daemon/src/main/java/org/crocusgrade/daemon/log/LineHandler.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/log/LineHandler.java
@@ -1,9 +1,12 @@
 package org.crocusgrade.daemon.log;
 
+import java.io.BufferedOutputStream;
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
+import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
@@ -29,14 +32,16 @@
     private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(MAX_QUEUED_RECORDS);
     private final AtomicLong dropped = new AtomicLong();
     private final PrintStream out;
+    private final Thread writer = new Thread(this::writeAll, "log");
 
-    private LineHandler() {
-        FileOutputStream file = new FileOutputStream(FileDescriptor.out);
+    LineHandler(OutputStream stream) {
         out =
                 new PrintStream(
-                        new java.io.BufferedOutputStream(file, BUFFER_BYTES),
+                        new BufferedOutputStream(stream, BUFFER_BYTES),
                         false,
                         StandardCharsets.UTF_8);
+        writer.setDaemon(true);
+        writer.start();
     }
 
     /**
@@ -44,15 +49,26 @@
      *
      * @param level the lowest level that is logged
      */
-    public static void install(Level level) {
+    public static LineHandler install(Level level) {
         LogManager.getLogManager().reset();
         Logger root = Logger.getLogger("");
-        LineHandler handler = new LineHandler();
+        LineHandler handler = new LineHandler(new FileOutputStream(FileDescriptor.out));
         root.setLevel(level);
         root.addHandler(handler);
-        Thread writer = new Thread(handler::writeAll, "log");
-        writer.setDaemon(true);
-        writer.start();
+        return handler;
+    }
+
+    /**
+     * Writes all queued records and ends the thread; later records are not written. Returns after
+     * the timeout even if the reader of the output is too slow.
+     */
+    public void finish(Duration timeout) {
+        writer.interrupt();
+        try {
+            writer.join(timeout.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     @Override
@@ -80,19 +96,23 @@
         try {
             while (true) {
                 out.println(queue.take());
-                String next = queue.poll();
-                while (next != null) {
-                    out.println(next);
-                    next = queue.poll();
-                }
-                long droppedRecords = dropped.getAndSet(0);
-                if (droppedRecords > 0) {
-                    out.println("event=log-dropped lines=" + droppedRecords);
-                }
-                out.flush();
+                writeQueued();
             }
         } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            writeQueued();
         }
     }
+
+    private void writeQueued() {
+        String next = queue.poll();
+        while (next != null) {
+            out.println(next);
+            next = queue.poll();
+        }
+        long droppedRecords = dropped.getAndSet(0);
+        if (droppedRecords > 0) {
+            out.println("event=log-dropped lines=" + droppedRecords);
+        }
+        out.flush();
+    }
 }
