Answer the cancellations that wait for the store when an owner loses its duty

Callers of a daemon that owned the pool got no answer to a cancellation that was waiting for the store when the duty was lost: the owner answers open submissions when it stops, but dropped its open cancellations. Found by a review.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -145,6 +145,7 @@
     void stop() {
         stopped = true;
         writer.stop();
+        requests.stop();
         poolWorkers.stop();
     }
 
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolRequests.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolRequests.java
@@ -292,7 +292,10 @@
         }
         scheduler.cancel(submission, runtime.clock().now());
         schedulePlan.run();
-        whenStored(submission, () -> reply.accept(done(submission)));
+        whenStored(
+                submission,
+                () -> reply.accept(done(submission)),
+                () -> reply.accept(SubmissionReply.of(Outcome.NOT_OWNER, "handed over")));
         writer.scheduleFlush();
     }
 
@@ -311,12 +314,12 @@
         return count;
     }
 
-    private void whenStored(TrackedSubmission submission, Runnable then) {
+    private void whenStored(TrackedSubmission submission, Runnable then, Runnable onStopped) {
         if (submission.stored() >= submission.changes()) {
             then.run();
             return;
         }
-        awaiting.add(new Awaiting(submission, submission.changes(), then));
+        awaiting.add(new Awaiting(submission, submission.changes(), then, onStopped));
     }
 
     /** Runs the replies that wait for changes that are now stored. */
@@ -326,6 +329,16 @@
         ready.forEach(a -> a.then.run());
     }
 
+    /**
+     * Sends the waiting cancellations to the next owner: whether this owner's writes were applied
+     * is not known, and a submission can be cancelled twice.
+     */
+    void stop() {
+        List<Awaiting> open = List.copyOf(awaiting);
+        awaiting.clear();
+        open.forEach(a -> a.onStopped.run());
+    }
+
     private void log(Event event, SubmissionId id, String reason) {
         runtime.log().log(event, "id", id, "pool", service, "reason", reason);
     }
@@ -333,5 +346,6 @@
     /** A submission that is being stored, and the calls that wait for the result. */
     private record Creation(Optional<CustomerId> customer, List<Consumer<CreateResult>> waiting) {}
 
-    private record Awaiting(TrackedSubmission submission, long change, Runnable then) {}
+    private record Awaiting(
+            TrackedSubmission submission, long change, Runnable then, Runnable onStopped) {}
 }
