Give up a move from a pool that lacks a host for a task without room

A host that was being emptied stayed evacuated for up to 3.5 s while its pool fetched another for a task without room. Found by a review; HostMoverTest.aMoveFromAPoolThatNowLacksAHostIsGivenUp failed before.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/HostMover.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/HostMover.java
@@ -66,7 +66,7 @@
 
     /**
      * Adds the hosts to evacuate and the orders to send. Hosts that are already in {@code evacuate}
-     * are not moved.
+     * are not moved, and a pool that now lacks hosts keeps those that were not ordered yet.
      */
     void decide(
             double now,
@@ -76,6 +76,12 @@
             Set<HostId> evacuate,
             List<FleetAction> orders) {
         removeFinished(views, evacuate);
+        leaving.keySet()
+                .removeIf(
+                        h -> {
+                            PoolNeed need = needs.get(views.get(h).pool());
+                            return need != null && need.lackingHosts() > 0 && !mayBeOrdered(h);
+                        });
         List<HostView> free = new ArrayList<>();
         for (HostView view : views.values()) {
             HostId host = view.host();
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/HostMoverTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/HostMoverTest.java
@@ -38,6 +38,8 @@
             new HostMover(
                     runtime(), new Authority(), new PoolBalancer(new SurgeSequenceForecast()));
 
+    private int lacking;
+
     @Test
     void aHostStaysEvacuatedWhileAnUnansweredOrderMayBeCarriedOut() {
         assertThat(decide(HOT, true), contains(HOST));
@@ -57,6 +59,15 @@
         assertThat(platform.moves, empty());
     }
 
+    /** Guards against a pool that fetches one host while it empties another. */
+    @Test
+    void aMoveFromAPoolThatNowLacksAHostIsGivenUp() {
+        assertThat(decide(HOT, false), contains(HOST));
+        lacking = 1;
+        time.run(300);
+        assertThat(decide(HOT, false), empty());
+    }
+
     /** Decides with demand in one pool; returns the hosts that are to be evacuated. */
     private Set<HostId> decide(ServiceId demanding, boolean isEmpty) {
         Map<HostId, HostView> hosts = new HashMap<>();
@@ -66,7 +77,8 @@
         Map<ServiceId, PoolNeed> needs = new HashMap<>();
         double hot = demanding.equals(HOT) ? 8 : 0;
         needs.put(HOT, new PoolNeed(HOT, 0, hot, 0, 0));
-        needs.put(CALM, new PoolNeed(CALM, 0, demanding.equals(CALM) ? 24 : 0, 0, 0));
+        double calm = demanding.equals(CALM) ? 24 : 0;
+        needs.put(CALM, new PoolNeed(CALM, 0, calm, 0, 0, 0, 0, lacking));
         Set<HostId> evacuate = new HashSet<>();
         List<FleetAction> orders = new ArrayList<>();
         double seconds = time.nanoTime() / 1e9;
