Count accelerators in the room that a worker has for a step

A worker whose accelerators are all taken counted as having room by its processors and memory, so its pool did not lack a host for a task that needs one. HostShortageTest.workerWithoutAFreeAcceleratorHasNoRoom.

--- a/core/src/main/java/org/crocusgrade/core/schedule/Placer.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placer.java
@@ -307,7 +307,9 @@
         long byCores =
                 each.milliCores() == 0 ? spec.tasks() : free.milliCores() / each.milliCores();
         long byMemory = each.memoryMb() == 0 ? spec.tasks() : free.memoryMb() / each.memoryMb();
-        return Math.max(0, Math.min(byCores, byMemory));
+        long byAccelerators =
+                each.accelerators() == 0 ? spec.tasks() : free.accelerators() / each.accelerators();
+        return Math.max(0, Math.min(byAccelerators, Math.min(byCores, byMemory)));
     }
 
     private long cost(WorkerNode worker, TrackedStep step, Map<String, Integer> tasksByRack) {
--- a/core/src/test/java/org/crocusgrade/core/schedule/HostShortageTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/HostShortageTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
+import org.crocusgrade.core.submission.Resources;
 import org.junit.jupiter.api.Test;
 
 /** Checks which tasks show that a pool needs another host. */
@@ -120,6 +121,15 @@
         assertThat(shortage().hosts(), is(1));
     }
 
+    /** Guards against processors and memory that no task can use without an accelerator. */
+    @Test
+    void workerWithoutAFreeAcceleratorHasNoRoom() {
+        pool.worker("w1", "r1", new Resources(32_000, 131_072, 1));
+        pool.submit(false, new StepBuilder(2, 1000).accelerators(1).longRunning(0).build());
+        assertThat(pool.startAll(), hasSize(1));
+        assertThat(shortage().hosts(), is(1));
+    }
+
     /** Guards against hosts for tasks that a former owner may have started elsewhere. */
     @Test
     void nothingIsLackingBeforeThePoolIsSettled() {
--- a/core/src/test/java/org/crocusgrade/core/schedule/Pool.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/Pool.java
@@ -117,6 +117,10 @@
     }
 
     WorkerNode worker(String name, String rack) {
+        return worker(name, rack, HOST);
+    }
+
+    WorkerNode worker(String name, String rack, Resources capacity) {
         WorkerNode node =
                 new WorkerNode(
                         new WorkerId(name),
@@ -125,7 +129,7 @@
                         "zone",
                         Optional.of(rack),
                         Set.of("a", rack),
-                        HOST);
+                        capacity);
         node.setUsable(true);
         scheduler.addWorker(node);
         return node;
--- a/core/src/test/java/org/crocusgrade/core/schedule/StepBuilder.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/StepBuilder.java
@@ -14,6 +14,7 @@
     private Optional<String> label = Optional.empty();
     private int maxPerWorker;
     private int memoryMb = 1024;
+    private int accelerators;
     private boolean longRunning;
     private boolean opportunistic;
     private int maxUnavailable;
@@ -54,6 +55,11 @@
         return this;
     }
 
+    StepBuilder accelerators(int number) {
+        accelerators = number;
+        return this;
+    }
+
     StepBuilder longRunning(int mayBeUnavailable) {
         longRunning = true;
         maxUnavailable = mayBeUnavailable;
@@ -98,7 +104,7 @@
     StepSpec build() {
         return new StepSpec(
                 tasks,
-                new Resources(milliCores, memoryMb, 0),
+                new Resources(milliCores, memoryMb, accelerators),
                 estimate,
                 after,
                 gang,
