Count the members of a gang that have no place among the hosts that a pool lacks

A gang with a limit per worker never started if its pool had fewer workers than the limit needs, since sums suffice. Found by a review. HostShortageTest.gangWithTooFewPlacesLacksHosts; the free places of an amount now respect the step's limit per worker, also where a rack is chosen for a step.

--- a/core/src/main/java/org/crocusgrade/core/schedule/HostShortage.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/HostShortage.java
@@ -18,9 +18,10 @@
  *
  * <p>Long-running tasks count as soon as no worker has room now, since those beside them never end.
  * Tasks of batch submissions count only if no worker could take them even without other batch
- * tasks, and together for one host: they can run there one after another. Tasks on evacuating
- * workers count as far as the step may have tasks unavailable, since they stay where they are until
- * there is room elsewhere.
+ * tasks, and together for one host: they can run there one after another. The members of a gang run
+ * at the same time, so each that has no place then counts. Tasks on evacuating workers count as far
+ * as the step may have tasks unavailable, since they stay where they are until there is room
+ * elsewhere.
  *
  * <p>Worked case: a step of 24 long-running tasks, at most one per worker, has 23 running on 23
  * workers that use a third of their processors. It lacks one host, whatever is free on the 23.
@@ -55,10 +56,12 @@
         for (TrackedSubmission submission : pool.active()) {
             for (TrackedStep step : StartPlanner.readySteps(submission, wall)) {
                 StepSpec spec = step.spec();
-                if (spec.gang() || spec.opportunistic()) {
+                if (spec.opportunistic()) {
                     continue;
                 }
-                if (spec.longRunning()) {
+                if (spec.gang()) {
+                    count.addGang(step, starts.isAtLimit(step));
+                } else if (spec.longRunning()) {
                     count.addLongRunning(step, starts.startableWithinLimit(step, now));
                 } else if (!count.hasBatch() && !starts.isAtLimit(step)) {
                     count.addBatch(step);
@@ -125,6 +128,27 @@
             batch = add(step, 1);
         }
 
+        /** Adds the members of a gang that has too few places, even without other batch tasks. */
+        void addGang(TrackedStep step, boolean atLimit) {
+            int members = step.remaining();
+            if (atLimit || members == 0 || step.startable(now) < members) {
+                return;
+            }
+            if (roomForBatch.isEmpty()) {
+                measureRoomForBatch();
+            }
+            long places = 0;
+            for (Room room : roomForBatch) {
+                if (Placer.hasLabel(room.worker, step.spec())) {
+                    places += Placer.places(room.free, step.spec());
+                }
+                if (places >= members) {
+                    return;
+                }
+            }
+            add(step, members - (int) places);
+        }
+
         private void measureRoomForBatch() {
             for (WorkerNode worker : pool.workers().values()) {
                 if (!worker.isDraining() && !worker.isEvacuating()) {
--- a/core/src/main/java/org/crocusgrade/core/schedule/Placer.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placer.java
@@ -302,14 +302,16 @@
         return spec.requiredLabel().map(worker::hasLabel).orElse(true);
     }
 
-    private static long places(Resources free, StepSpec spec) {
+    /** Returns how many tasks of a step fit in an amount, within the step's limit per worker. */
+    static long places(Resources free, StepSpec spec) {
         Resources each = spec.reserved();
         long byCores =
                 each.milliCores() == 0 ? spec.tasks() : free.milliCores() / each.milliCores();
         long byMemory = each.memoryMb() == 0 ? spec.tasks() : free.memoryMb() / each.memoryMb();
         long byAccelerators =
                 each.accelerators() == 0 ? spec.tasks() : free.accelerators() / each.accelerators();
-        return Math.max(0, Math.min(byAccelerators, Math.min(byCores, byMemory)));
+        long places = Math.max(0, Math.min(byAccelerators, Math.min(byCores, byMemory)));
+        return spec.maxPerWorker() == 0 ? places : Math.min(places, spec.maxPerWorker());
     }
 
     private long cost(WorkerNode worker, TrackedStep step, Map<String, Integer> tasksByRack) {
--- a/core/src/test/java/org/crocusgrade/core/schedule/HostShortageTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/HostShortageTest.java
@@ -74,6 +74,31 @@
         assertThat(shortage().hosts(), is(1));
     }
 
+    /** Guards against a gang that never starts, as its members have too few workers at once. */
+    @Test
+    void gangWithTooFewPlacesLacksHosts() {
+        pool.worker("w1", "r1");
+        pool.worker("w2", "r2");
+        pool.submit(false, new StepBuilder(4, 1000).gang().maxPerWorker(1).build());
+        assertThat(pool.startAll(), hasSize(0));
+        assertThat(shortage().hosts(), is(2));
+        pool.worker("w3", "r3");
+        pool.worker("w4", "r4");
+        assertThat(shortage(), is(HostShortage.NONE));
+        assertThat(pool.startAll(), hasSize(4));
+    }
+
+    /** Guards against hosts for a gang that starts as soon as other tasks end. */
+    @Test
+    void gangBehindBatchTasksLacksNoHost() {
+        pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(1, 30_000).build());
+        assertThat(pool.startAll(), hasSize(1));
+        pool.submit(false, new StepBuilder(4, 4000).gang().build());
+        assertThat(pool.startAll(), hasSize(0));
+        assertThat(shortage(), is(HostShortage.NONE));
+    }
+
     /** Guards against maintenance that waits because no other worker has room. */
     @Test
     void taskOnAnEvacuatingWorkerLacksAHostIfItMayBeUnavailable() {
