Look for room once when a task may leave its worker, and end moves in one place

The stop planner asked for a worker with room and then asked again for the one to claim. HostMover removed the moves of pools that lack hosts beside the method that ends all others. Behaviour is the same; the tests of both are unchanged.

--- a/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
@@ -147,12 +147,15 @@
             placement.requireStop(otherRunDone ? StopReason.OTHER_RUN_DONE : StopReason.ENDED, now);
             return;
         }
-        if (mayEvacuate(placement, now)) {
-            boolean draining = placement.worker().isDraining();
-            placement.requireStop(draining ? StopReason.DRAINING : StopReason.EVACUATED, now);
+        if (mayLeave(placement, now)) {
             Task task = placement.task();
-            placer.choose(task, now).ifPresent(w -> task.claim(w, now + CLAIM_NANOS));
-            return;
+            boolean draining = placement.worker().isDraining();
+            Optional<WorkerNode> next = placer.choose(task, now);
+            if (draining || next.isPresent()) {
+                placement.requireStop(draining ? StopReason.DRAINING : StopReason.EVACUATED, now);
+                next.ifPresent(w -> task.claim(w, now + CLAIM_NANOS));
+                return;
+            }
         }
         if (isStalled(placement)) {
             stopStalled(placement, now);
@@ -262,11 +265,11 @@
     }
 
     /**
-     * Returns whether a long-running task is to leave its worker: immediately if the worker is
-     * draining; if it is evacuated, only while the step may have another unavailable task and there
-     * is room for it on another worker.
+     * Returns whether a long-running task may leave its worker: immediately if the worker is
+     * draining; if it is evacuated, only while the step may have another unavailable task. It then
+     * leaves as soon as there is room for it on another worker.
      */
-    private boolean mayEvacuate(Placement placement, long now) {
+    private boolean mayLeave(Placement placement, long now) {
         TrackedStep step = placement.task().step();
         WorkerNode worker = placement.worker();
         if (!step.spec().longRunning() || !(worker.isEvacuating() || worker.isDraining())) {
@@ -279,6 +282,6 @@
             return false;
         }
         int limit = Math.max(1, step.spec().maxUnavailable());
-        return step.unavailableTasks() < limit && placer.choose(placement.task(), now).isPresent();
+        return step.unavailableTasks() < limit;
     }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/HostMover.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/HostMover.java
@@ -75,13 +75,7 @@
             Set<ServiceId> standbyPools,
             Set<HostId> evacuate,
             List<FleetAction> orders) {
-        removeFinished(views, evacuate);
-        leaving.keySet()
-                .removeIf(
-                        h -> {
-                            PoolNeed need = needs.get(views.get(h).pool());
-                            return need != null && need.lackingHosts() > 0 && !mayBeOrdered(h);
-                        });
+        removeFinished(views, needs, evacuate);
         List<HostView> free = new ArrayList<>();
         for (HostView view : views.values()) {
             HostId host = view.host();
@@ -142,7 +136,8 @@
         }
     }
 
-    private void removeFinished(Map<HostId, HostView> views, Set<HostId> evacuate) {
+    private void removeFinished(
+            Map<HostId, HostView> views, Map<ServiceId, PoolNeed> needs, Set<HostId> evacuate) {
         long now = runtime.clock().nanoTime();
         unanswered.values().removeIf(since -> now - since > MAX_ORDER_DELAY.toNanos());
         leaving.entrySet()
@@ -153,8 +148,11 @@
                                 return true;
                             }
                             long waited = now - e.getValue().sinceNanos;
+                            PoolNeed need = needs.get(view.pool());
+                            boolean isLacking = need != null && need.lackingHosts() > 0;
                             return !mayBeOrdered(e.getKey())
-                                    && (evacuate.contains(e.getKey())
+                                    && (isLacking
+                                            || evacuate.contains(e.getKey())
                                             || waited > EVACUATION_TIMEOUT.toNanos());
                         });
         arriving.entrySet()
