Follow the capacity that a running worker reports

The capacity was read once, when a session with an incarnation was opened; later registrations changed only whether it drains.

Runs that are being stopped still count, since their placements do. The room of a worker below what its runs reserve no longer lowers the sums of its pool.

--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolState.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolState.java
@@ -123,7 +123,7 @@
     Resources free(long now) {
         Resources sum = Resources.NONE;
         for (WorkerNode worker : workers.values()) {
-            sum = worker.acceptsRuns(now) ? sum.plus(worker.free()) : sum;
+            sum = worker.acceptsRuns(now) ? sum.plus(worker.free().atLeast(Resources.NONE)) : sum;
         }
         return sum;
     }
@@ -135,11 +135,10 @@
             if (!worker.countsTowardCapacity(now)) {
                 continue;
             }
-            left = left.plus(worker.capacity()).minus(worker.longRunningReserved());
+            Resources free = worker.capacity().minus(worker.longRunningReserved());
+            left = left.plus(free.atLeast(Resources.NONE));
         }
-        return new BatchCapacity(
-                Math.max(0, left.milliCores()) / MILLI_CORES_PER_CORE,
-                Math.max(0, left.memoryMb()));
+        return new BatchCapacity(left.milliCores() / MILLI_CORES_PER_CORE, left.memoryMb());
     }
 
     long nextRun(Task task) {
--- a/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
@@ -26,10 +26,10 @@
     private final String zone;
     private final Optional<String> rack;
     private final Set<String> labels;
-    private final Resources capacity;
     private final Map<TaskId, Placement> placements = new LinkedHashMap<>();
     private final Deque<PendingEnd> pendingEnds = new ArrayDeque<>();
     private final RoomClaims claims = new RoomClaims();
+    private Resources capacity;
     private Resources used = Resources.NONE;
     private boolean usable;
     private boolean silent;
@@ -97,7 +97,15 @@
         return capacity;
     }
 
-    /** Returns the capacity that neither a run nor a claim has reserved. */
+    /** Sets the capacity that the worker reports; its runs may have reserved more than that. */
+    public void setCapacity(Resources reported) {
+        capacity = reported;
+    }
+
+    /**
+     * Returns the capacity that neither a run nor a claim has reserved; negative amounts are
+     * reserved beyond the capacity.
+     */
     public Resources free() {
         return unused().minus(claims.reserved());
     }
--- a/core/src/main/java/org/crocusgrade/core/submission/Resources.java
+++ b/core/src/main/java/org/crocusgrade/core/submission/Resources.java
@@ -26,6 +26,14 @@
                 accelerators - other.accelerators);
     }
 
+    /** Returns the larger of both, for each amount. */
+    public Resources atLeast(Resources other) {
+        return new Resources(
+                Math.max(milliCores, other.milliCores),
+                Math.max(memoryMb, other.memoryMb),
+                Math.max(accelerators, other.accelerators));
+    }
+
     /** Returns the sum of several equal amounts. */
     public Resources times(int count) {
         return new Resources(
--- a/core/src/test/java/org/crocusgrade/core/schedule/CapacityPropertyTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/CapacityPropertyTest.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.crocusgrade.core.submission.Resources;
 import org.crocusgrade.core.submission.TaskEnd;
 import org.crocusgrade.core.submission.TaskEnd.Result;
 import org.crocusgrade.core.submission.TaskId;
@@ -52,6 +53,29 @@
         }
     }
 
+    /** Guards against starts beyond a capacity that shrinks and grows while runs are active. */
+    @Property(tries = 60)
+    void noStartBringsWorkerOverItsChangingCapacity(@ForAll long seed) {
+        Random random = new Random(seed);
+        Pool pool = Pool.settled();
+        List<WorkerNode> workers = List.of(pool.worker("w0", "r0"), pool.worker("w1", "r1"));
+        for (int round = 0; round < ROUNDS; round++) {
+            for (WorkerNode worker : workers) {
+                long cores = random.nextInt(33);
+                worker.setCapacity(new Resources(1000 * cores, 4096 * cores, 0));
+            }
+            pool.submit(false, Pool.step(1 + random.nextInt(8), 500 + random.nextInt(9000)));
+            for (Placement placement : pool.starts()) {
+                Resources free = placement.worker().free();
+                assertThat(free.milliCores(), greaterThanOrEqualTo(0L));
+                assertThat(free.memoryMb(), greaterThanOrEqualTo(0L));
+                pool.answer(placement, answer(random));
+            }
+            workers.forEach(pool::report);
+            assertThat(pool.scheduler.batchCores(pool.now()), greaterThanOrEqualTo(0.0));
+        }
+    }
+
     private static StartAnswer answer(Random random) {
         return switch (random.nextInt(10)) {
             case 0 -> StartAnswer.UNKNOWN;
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
@@ -15,6 +15,7 @@
 import org.crocusgrade.core.schedule.Order;
 import org.crocusgrade.core.schedule.PoolScheduler;
 import org.crocusgrade.core.schedule.WorkerNode;
+import org.crocusgrade.core.submission.Resources;
 import org.crocusgrade.daemon.log.Event;
 
 /**
@@ -102,6 +103,29 @@
             held = open(entry);
         }
         held.setDraining(entry.draining());
+        updateCapacity(held.node(), entry.capacity());
+    }
+
+    private void updateCapacity(WorkerNode node, Resources reported) {
+        Resources last = node.capacity();
+        if (reported.equals(last)) {
+            return;
+        }
+        node.setCapacity(reported);
+        runtime.log().log(
+                Event.WORKER_RESIZED,
+                "pool",
+                service,
+                "worker",
+                node.id(),
+                "cores",
+                reported.milliCores(),
+                "last-cores",
+                last.milliCores(),
+                "memory-mb",
+                reported.memoryMb(),
+                "free",
+                node.free().milliCores());
     }
 
     private WorkerSession open(WorkerEntry entry) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/log/Event.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/log/Event.java
@@ -79,6 +79,8 @@
     WORKER_SLOW(314, Level.INFO),
     /** Runs take about as long on a worker as on others again. */
     WORKER_NOT_SLOW(315, Level.INFO),
+    /** The capacity that a worker reports has changed. */
+    WORKER_RESIZED(316, Level.INFO),
     /** The fleet duty was taken over with the handover state of the previous holder. */
     FLEET_TAKEN_OVER(324, Level.INFO),
     /** The demand of a pool's queue has risen far above its usual level. */
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
@@ -139,9 +139,8 @@
     }
 
     void register(SimWorker worker) {
-        byte[] startedEpochMillis =
-                Long.toString(worker.startedEpochMillis()).getBytes(StandardCharsets.UTF_8);
-        store.write("servers/" + worker.id, startedEpochMillis);
+        String text = worker.startedEpochMillis() + " " + worker.milliCores();
+        store.write("servers/" + worker.id, text.getBytes(StandardCharsets.UTF_8));
     }
 
     /** Requests the maintenance of all hosts, as operators do. */
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFormat.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFormat.java
@@ -30,10 +30,10 @@
 import org.crocusgrade.core.submission.SubmissionSpec;
 
 /**
- * The format of the simulation's records: the start time of a worker as text, the number of tasks
- * of a submission as one byte, negative if its tasks may overlap, a configuration as its version
- * and customers such as {@code 2 a=key} or {@code 2 a=key=4}, with a cap of 4 cores (an entry
- * without a number is version 1).
+ * The format of the simulation's records: the start time of a worker and its processors as text,
+ * the number of tasks of a submission as one byte, negative if its tasks may overlap, a
+ * configuration as its version and customers such as {@code 2 a=key} or {@code 2 a=key=4}, with a
+ * cap of 4 cores (an entry without a number is version 1).
  */
 final class SimFormat implements PlatformFormat {
     private static final AdvicePolicy ADVICE =
@@ -65,6 +65,9 @@
 
     @Override
     public WorkerEntry worker(StoreEntry entry) throws FormatException {
+        String[] words = entry.text().split(" ");
+        Resources capacity =
+                new Resources(Long.parseLong(words[1]), SimFleet.CAPACITY.memoryMb(), 0);
         return new WorkerEntry(
                 new WorkerId(entry.key().substring(workerPrefix().length())),
                 SimFleet.SERVICE,
@@ -72,10 +75,10 @@
                 "zone",
                 false,
                 Duration.ZERO,
-                Long.parseLong(entry.text()),
+                Long.parseLong(words[0]),
                 List.of("a", "r1"),
                 Optional.of("r1"),
-                SimFleet.CAPACITY,
+                capacity,
                 Optional.empty());
     }
 
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimWorker.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimWorker.java
@@ -44,6 +44,7 @@
     private boolean unresponsive;
     private boolean down;
     private boolean slowRuns;
+    private long milliCores = SimFleet.CAPACITY.milliCores();
 
     SimWorker(String name, SimTime time, SimChecks checks, long taskMillis, boolean needsTickets) {
         this.needsTickets = needsTickets;
@@ -75,6 +76,15 @@
         unresponsive = now;
     }
 
+    long milliCores() {
+        return milliCores;
+    }
+
+    /** Changes the processors of the worker; it continues its runs, and starts what it is told. */
+    void resize(long to) {
+        milliCores = to;
+    }
+
     /** Makes one in ten runs take seven times as long. */
     void setSlowRuns() {
         slowRuns = true;
