Count crashes of workers against the tasks that ran on them, and isolate suspects

A crash lists no end, so it was no attempt: the runs were removed and started again together, with the task that had done it.

The loss of a connection now counts at once, and in the store, for the tasks of the worker. Tasks whose runs had just begun are suspects: each submission runs next on a worker with few runs on which nothing else begins until it has outlived its probation, and the run is announced in the store before it starts. A task is given up after two crashes of which it was the only possible cause, or after the limits in CrashHistory. Silence, drain, evacuation and workers that answer again are no crash; crashes in bulk make nobody the only cause.

Ruled out: giving up after any two crashes (neighbours would be), counting without isolation.

--- a/cli/src/main/java/org/crocusgrade/cli/SubmissionTrace.java
+++ b/cli/src/main/java/org/crocusgrade/cli/SubmissionTrace.java
@@ -19,7 +19,7 @@
  */
 final class SubmissionTrace {
     private static final Set<String> WORKER_EVENTS =
-            Set.of("worker-silent", "worker-lapsed", "worker-gone");
+            Set.of("worker-silent", "worker-lapsed", "worker-gone", "worker-crashed");
     private static final Set<String> OWNERSHIP_EVENTS =
             Set.of("duty-gained", "duty-lost", "pool-settled");
 
@@ -115,6 +115,7 @@
 
     private void deriveFindings() {
         addFailedTasks();
+        addCrashes();
         for (LogLine line : lines) {
             switch (line.event()) {
                 case "submission-refused" -> addRefusal(line);
@@ -124,6 +125,14 @@
                                 "worker %s did not respond; tasks waited for its leases to expire"
                                         .formatted(line.get("worker")));
                 case "cap-wait-started" -> addCapWait(line);
+                case "task-given-up" ->
+                        findings.add(
+                                ("task %s was given up after %s crashes of its workers; it was the"
+                                                + " only possible cause of %s")
+                                        .formatted(
+                                                line.get("task"),
+                                                line.get("crashes"),
+                                                line.get("sole-cause")));
                 case "duty-gained" ->
                         findings.add(
                                 "the owner of the pool changed at %s (term %s)"
@@ -185,6 +194,23 @@
         }
     }
 
+    /** Names the tasks that may have crashed their workers; others have no such lines. */
+    private void addCrashes() {
+        Map<String, Set<String>> crashedUnder = new TreeMap<>();
+        for (LogLine line : lines) {
+            if (line.event().equals("crash-counted")) {
+                crashedUnder
+                        .computeIfAbsent(line.get("task"), t -> new TreeSet<>())
+                        .add(line.get("worker"));
+            }
+        }
+        crashedUnder.forEach(
+                (task, workers) ->
+                        findings.add(
+                                "workers crashed under task %s: %s; it may be the cause"
+                                        .formatted(task, String.join(", ", workers))));
+    }
+
     private void addFailedTasks() {
         Map<String, List<String>> failedOn = new TreeMap<>();
         for (LogLine line : lines) {
--- a/cli/src/test/java/org/crocusgrade/cli/SubmissionTraceTest.java
+++ b/cli/src/test/java/org/crocusgrade/cli/SubmissionTraceTest.java
@@ -35,6 +35,27 @@
                         "the submission ended as COMPLETED after 1200 ms"));
     }
 
+    /** Without it, an operator cannot tell why a submission without a failed run has failed. */
+    @Test
+    void crashesUnderATaskAndItsGivingUpAreNamed() {
+        assertThat(
+                findings(
+                        "event=submission-accepted id=s1 pool=p1",
+                        "event=run-ordered task=s1.0.0.0 run=1 worker=w1",
+                        "event=worker-crashed worker=w1 runs=9 just-begun=2",
+                        "event=crash-counted task=s1.0.0.0 run=1 worker=w1 just-begun=true"
+                                + " crashes=1",
+                        "event=crash-counted task=s1.0.0.0 run=2 worker=w2 just-begun=true"
+                                + " crashes=2",
+                        "event=task-given-up task=s1.0.0.0 crashes=2 sole-cause=1",
+                        "event=submission-ended id=s1 pool=p1 state=FAILED after-ms=9000"),
+                contains(
+                        "workers crashed under task s1.0.0.0: w1, w2; it may be the cause",
+                        "task s1.0.0.0 was given up after 2 crashes of its workers; it was the"
+                                + " only possible cause of 1",
+                        "the submission ended as FAILED after 9000 ms"));
+    }
+
     /** Without it, an operator looks for missing workers where only the cap keeps tasks waiting. */
     @Test
     void waitForTheCapOfTheCustomerIsNamed() {
--- a/core/src/main/java/org/crocusgrade/core/port/OrderException.java
+++ b/core/src/main/java/org/crocusgrade/core/port/OrderException.java
@@ -19,15 +19,34 @@
     }
 
     private final Kind kind;
+    private final boolean connectionLost;
 
     /** Creates an exception of a kind. */
     public OrderException(Kind kind, String message) {
+        this(kind, message, false);
+    }
+
+    /**
+     * Creates an exception of a kind.
+     *
+     * @param connectionLost whether the worker closed or refused the connection
+     */
+    public OrderException(Kind kind, String message, boolean connectionLost) {
         super(message);
         this.kind = Objects.requireNonNull(kind);
+        this.connectionLost = connectionLost;
     }
 
     /** Returns what is known about the effect of the order. */
     public Kind kind() {
         return kind;
     }
+
+    /**
+     * Returns whether the worker closed or refused the connection, as it does when its process
+     * ends. A worker that is cut off or frozen lets calls time out instead.
+     */
+    public boolean isConnectionLost() {
+        return connectionLost;
+    }
 }
--- a/core/src/main/java/org/crocusgrade/core/schedule/Notice.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Notice.java
@@ -20,6 +20,69 @@
         }
     }
 
+    /**
+     * A worker has closed or refused a connection and may have crashed.
+     *
+     * @param runs the number of its runs
+     * @param early how many of them had just begun
+     */
+    record WorkerCrashed(WorkerId worker, int runs, int early) implements Notice {
+        public WorkerCrashed {
+            Objects.requireNonNull(worker);
+        }
+    }
+
+    /**
+     * The crash of a worker was counted for a task that may be the cause of it.
+     *
+     * @param early whether the run had just begun
+     * @param crashes the number of crashes of the task
+     */
+    record CrashCounted(TaskId task, long run, WorkerId worker, boolean early, int crashes)
+            implements Notice {
+        public CrashCounted {
+            Objects.requireNonNull(task);
+            Objects.requireNonNull(worker);
+        }
+    }
+
+    /**
+     * No submission but that of the task can have caused a crash.
+     *
+     * @param crashes the number of crashes of the task
+     * @param sole how many of them have no other possible cause
+     */
+    record CrashAttributed(TaskId task, long run, WorkerId worker, int crashes, int sole)
+            implements Notice {
+        public CrashAttributed {
+            Objects.requireNonNull(task);
+            Objects.requireNonNull(worker);
+        }
+    }
+
+    /**
+     * A worker that seemed to have crashed has answered.
+     *
+     * @param runs the number of runs for which the crash had been counted
+     */
+    record CrashWithdrawn(WorkerId worker, int runs) implements Notice {
+        public CrashWithdrawn {
+            Objects.requireNonNull(worker);
+        }
+    }
+
+    /**
+     * A task was given up, because workers crashed under it.
+     *
+     * @param crashes the number of crashes
+     * @param sole how many of them have no other possible cause
+     */
+    record TaskGivenUp(TaskId task, int crashes, int sole) implements Notice {
+        public TaskGivenUp {
+            Objects.requireNonNull(task);
+        }
+    }
+
     /**
      * A worker is taken for slow, or no longer.
      *
--- a/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
@@ -7,6 +7,15 @@
  * has ended or can never begin.
  */
 public final class Placement {
+    /** How long after its beginning a run counts as just begun, in nanoseconds. */
+    static final long EARLY_NANOS = 300_000_000L;
+
+    /**
+     * How long a long-running task must have been at work so that it is no cause of a crash, in
+     * nanoseconds.
+     */
+    private static final long HARMLESS_NANOS = 10_000_000_000L;
+
     /** The share at which a task works at full speed, in percent. */
     private static final int FULL_PERCENT = 100;
 
@@ -37,6 +46,8 @@
     private long progressNanos;
     private String savedProgress;
     private boolean adopted;
+    private long begunNanos = Long.MIN_VALUE;
+    private long probationNanos;
     private Optional<CopyReason> copyReason = Optional.empty();
 
     Placement(Task task, WorkerNode worker, long run, String checkpoint, long now) {
@@ -137,8 +148,40 @@
         }
     }
 
+    /** Starts the run in isolation, for a time that counts from its beginning. */
+    void setProbation(long nanos) {
+        probationNanos = nanos;
+    }
+
+    /** Returns whether the run was started in isolation. */
+    public boolean isIsolated() {
+        return probationNanos > 0;
+    }
+
+    /** Returns whether nothing else may begin on the worker because of this run. */
+    boolean isOnProbation(long now) {
+        return isIsolated() && (!hasBegun() || now - begunNanos < probationNanos);
+    }
+
+    private boolean hasBegun() {
+        return begunNanos != Long.MIN_VALUE;
+    }
+
+    /** Returns whether the run has just begun, or may have. */
+    boolean isEarly(long now) {
+        return !adopted && (!hasBegun() || now - begunNanos <= EARLY_NANOS);
+    }
+
+    /** Returns whether the run is of a long-running task that has been at work for long. */
+    boolean isProvenHarmless(long now) {
+        return task.step().spec().longRunning() && hasBegun() && now - begunNanos > HARMLESS_NANOS;
+    }
+
     /** Marks the run as active, which begins its submission. */
     void setRunning(long now) {
+        if (!hasBegun()) {
+            begunNanos = now;
+        }
         enter(Phase.RUNNING, now);
         task.step().submission().setBegun();
     }
--- a/core/src/main/java/org/crocusgrade/core/schedule/Placer.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placer.java
@@ -51,6 +51,9 @@
      */
     private static final long AVOID_NANOS = 2_000_000_000L;
 
+    /** What a long-running task weighs against runs of other tasks if its worker crashes. */
+    private static final long LONG_RUNNING_RISK = 1000;
+
     private static final long MILLION = 1_000_000L;
 
     /** Cost offset of a worker without tasks, more than any share. */
@@ -186,6 +189,38 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Returns the worker to be emptied for a task that may crash it: the one with the fewest
+     * long-running tasks, then the fewest runs. It may have no room yet.
+     *
+     * @param taken workers that are not considered
+     */
+    Optional<WorkerNode> chooseForIsolation(Task task, Set<WorkerNode> taken, long now) {
+        TrackedStep step = task.step();
+        boolean ticketNeeded = needsTicket(step);
+        WorkerNode best = null;
+        for (WorkerNode worker : pool.workers().values()) {
+            boolean allowed = !ticketNeeded || step.advice().ticket(worker, now).isPresent();
+            Resources room = worker.capacity().minus(worker.longRunningReserved());
+            boolean fits =
+                    step.spec().reserved().fitsIn(room)
+                            && hasLabel(worker, step.spec())
+                            && !isAtLimit(worker, step);
+            if (!allowed || !fits || !worker.acceptsSuspects(now) || taken.contains(worker)) {
+                continue;
+            }
+            if (best == null || risk(worker) < risk(best)) {
+                best = worker;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Returns the cost of a crash of a worker: its runs, long-running ones first. */
+    private static long risk(WorkerNode worker) {
+        return worker.longRunning() * LONG_RUNNING_RISK + worker.placements().size();
+    }
+
     /** Assigns a rack-local step to the rack with the most room, unless it has one already. */
     void chooseRack(TrackedStep step, long now) {
         if (!step.spec().rackLocal() || step.rack().isPresent()) {
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -38,9 +38,11 @@
     private final RunTimeModel times = new RunTimeModel();
     private final WorkEstimator estimator = new WorkEstimator(times);
     private final Admission admission = new Admission(estimator);
+    private final CrashTracker crashes;
     private final ReportProcessor reports;
     private final StopPlanner stops;
     private final StartPlanner starts;
+    private final IsolationPlanner isolation;
     private final CopyPlanner copies;
     private final AdvicePlanner advicePlanner;
     private final Pacer pacer;
@@ -91,12 +93,14 @@
             Optional<StartOrder> order) {
         this.customers = Objects.requireNonNull(customers);
         pool = new PoolState(term, routes);
-        reports = new ReportProcessor(pool, times);
+        crashes = new CrashTracker(pool);
+        reports = new ReportProcessor(pool, times, crashes);
         pacer = new Pacer(pool);
         stops = new StopPlanner(pool, reports, times, pacer);
         ranking = new SubmissionRanking(pool, estimator, shares);
         backlog = new BacklogEstimator(pool, estimator, ranking);
         starts = new StartPlanner(pool, order.orElse(ranking), pacer);
+        isolation = new IsolationPlanner(pool, crashes, starts, new Placer(pool, pacer));
         copies = new CopyPlanner(pool, times, pacer);
         advicePlanner = new AdvicePlanner(pool, ranking);
         demand = new CustomerDemand(pool, starts);
@@ -114,6 +118,7 @@
     public void add(TrackedSubmission submission) {
         attempts.remove(submission.id());
         pool.add(submission);
+        crashes.add(submission);
         submission.occurrences().stream()
                 .flatMap(List::stream)
                 .filter(TrackedStep::allowsCopies)
@@ -186,6 +191,7 @@
 
     /** Removes an incarnation of a worker that has certainly ended, and with it all its runs. */
     public void removeWorker(WorkerNode worker) {
+        crashes.onEnded(worker);
         reports.removeRuns(worker);
         pool.workers().remove(worker.id(), worker);
     }
@@ -198,6 +204,7 @@
      * @return whether such runs are left
      */
     public boolean incarnationEnded(WorkerNode worker) {
+        crashes.onEnded(worker);
         for (Placement placement : List.copyOf(worker.placements())) {
             if (placement.isListed()) {
                 worker.remove(placement);
@@ -233,6 +240,19 @@
         reports.removeRuns(worker);
     }
 
+    /** Returns whether tasks wait for their isolated run to be announced in the store. */
+    public boolean hasSuspects() {
+        return !crashes.suspects().isEmpty();
+    }
+
+    /**
+     * Records that a worker has closed or refused a connection, as it does when it crashes. To be
+     * called once until it answers again.
+     */
+    public void onConnectionLost(WorkerNode worker, long now) {
+        crashes.onConnectionLost(worker, now);
+    }
+
     /**
      * Processes a report of a worker.
      *
@@ -247,6 +267,7 @@
             List<TaskEnd> ends,
             long now,
             Instant wall) {
+        crashes.onAnswer(worker);
         reports.onReport(worker, requestedNanos, running, ends, now, wall);
     }
 
@@ -269,8 +290,9 @@
         }
     }
 
-    private static void refused(Placement placement, long now) {
+    private void refused(Placement placement, long now) {
         placement.worker().remove(placement);
+        crashes.onRunOver(placement.task(), placement.run());
         placement.task().waitUntil(now + REFUSED_PAUSE_NANOS);
         stopGang(placement, now);
     }
@@ -295,13 +317,17 @@
         placement.paceAnswered(percent, answered);
     }
 
-    /** Returns what was found in reports since the last call, for the log. */
+    /** Returns what was found since the last call, for the log. */
     public List<Notice> takeNotices() {
-        return reports.takeNotices();
+        List<Notice> taken = new ArrayList<>(crashes.takeNotices());
+        taken.addAll(reports.takeNotices());
+        return taken;
     }
 
     /** Returns the orders to send now. */
     public List<Order> plan(long now, Instant wall) {
+        crashes.update(now);
+        crashes.takeExhausted().forEach(reports::watchIfExhausted);
         reports.failExhausted(wall);
         usableCapacity(now);
         shares.update(pool, customers.get(), now, wall);
@@ -309,7 +335,8 @@
         List<Order> orders = new ArrayList<>(stops.plan(now, room));
         int startRoom = room - orders.size();
         orders.addAll(pacer.plan(now));
-        List<Order> startOrders = starts.plan(now, wall, startRoom);
+        List<Order> startOrders = new ArrayList<>(isolation.plan(now, wall, startRoom));
+        startOrders.addAll(starts.plan(now, wall, startRoom - startOrders.size()));
         window.setLimiting(startOrders.size() >= startRoom);
         orders.addAll(startOrders);
         orders.addAll(copies.plan(now, wall, startRoom - startOrders.size()));
--- a/core/src/main/java/org/crocusgrade/core/schedule/ReportProcessor.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/ReportProcessor.java
@@ -47,13 +47,15 @@
 
     private final PoolState pool;
     private final RunTimeModel times;
+    private final CrashTracker crashes;
     private final Map<WorkerNode, Set<RunId>> unwanted = new HashMap<>();
     private final Set<Task> exhausted = new LinkedHashSet<>();
     private final List<Notice> notices = new ArrayList<>();
 
-    ReportProcessor(PoolState pool, RunTimeModel times) {
+    ReportProcessor(PoolState pool, RunTimeModel times, CrashTracker crashes) {
         this.pool = pool;
         this.times = times;
+        this.crashes = crashes;
     }
 
     /** Processes a worker's list of active runs and its list of ended runs. */
@@ -108,6 +110,7 @@
         }
         Task task = found.get();
         task.recordRun(reported.run());
+        crashes.withdraw(task, reported.run());
         Optional<Placement> held = worker.placement(reported.task());
         if (held.isPresent() && held.get().run() == reported.run()) {
             observe(held.get(), reported, now);
@@ -128,6 +131,9 @@
         placement.observe(reported.percent(), reported.load(), now);
         placement.observeCheckpoint(reported.checkpoint(), now);
         saveCheckpoint(placement.task(), reported.run(), reported.checkpoint());
+        if (placement.isProvenHarmless(now)) {
+            crashes.acquit(placement.task());
+        }
     }
 
     private void recordSpeed(Placement placement, double millis) {
@@ -156,6 +162,7 @@
         if (found.isPresent()) {
             Task task = found.get();
             task.recordRun(end.run());
+            crashes.onRunOver(task, end.run());
             Optional<Placement> placement =
                     worker.placement(end.task()).filter(p -> p.run() == end.run());
             placement.ifPresent(worker::remove);
@@ -240,26 +247,33 @@
         return taken;
     }
 
-    /** Watches a task whose attempts have all failed while a run of it may be active. */
+    /** Watches a task that is exhausted while a run of it may be active. */
     void watchIfExhausted(Task task) {
         if (task.isExhausted() && !task.isOver()) {
             exhausted.add(task);
         }
     }
 
-    /** Fails the submissions of tasks whose attempts have all failed and that have no run left. */
+    /** Fails the submissions of exhausted tasks that have no run left. */
     void failExhausted(Instant wall) {
         for (Task task : List.copyOf(exhausted)) {
+            if (task.isOver() || !task.isExhausted()) {
+                exhausted.remove(task);
+                continue;
+            }
             TrackedSubmission submission = task.step().submission();
             boolean mayHaveOtherRuns = submission.isInherited() && !pool.isSettled();
-            if (!task.isOver() && (mayHaveOtherRuns || !task.placements().isEmpty())) {
+            if (mayHaveOtherRuns || !task.placements().isEmpty()) {
                 continue;
             }
             exhausted.remove(task);
-            if (!task.isOver()) {
-                submission.end(SubmissionState.FAILED, wall);
-                pool.markDirty(submission);
+            if (task.crashes().isLimitReached()) {
+                notices.add(
+                        new Notice.TaskGivenUp(
+                                task.id(), task.crashes().size(), task.crashes().sole()));
             }
+            submission.end(SubmissionState.FAILED, wall);
+            pool.markDirty(submission);
         }
     }
 
@@ -311,7 +325,10 @@
                 gone.add(placement);
             }
         }
-        gone.forEach(worker::remove);
+        for (Placement placement : gone) {
+            worker.remove(placement);
+            placement.task().clearAnnouncement(placement.run());
+        }
     }
 
     /** Identifies one run of a task. */
--- a/core/src/main/java/org/crocusgrade/core/schedule/StartPlanner.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StartPlanner.java
@@ -133,7 +133,10 @@
         if (step.spec().reserved().milliCores() > placer.maxFreeMilliCores(now)) {
             return false;
         }
-        List<Task> startable = step.tasks().stream().filter(t -> t.isStartable(now)).toList();
+        List<Task> startable =
+                step.tasks().stream()
+                        .filter(t -> t.isStartable(now) && !t.needsIsolation())
+                        .toList();
         placer.chooseRack(step, now);
         if (step.spec().gang()) {
             return placeGang(step, startable, now, orders);
--- a/core/src/main/java/org/crocusgrade/core/schedule/Task.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Task.java
@@ -8,6 +8,8 @@
 import java.util.SortedSet;
 import java.util.TreeSet;
 import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.schedule.CrashHistory.Crash;
+import org.crocusgrade.core.schedule.CrashHistory.Kind;
 import org.crocusgrade.core.submission.TaskId;
 
 /** One task of a submission: its durable state and its active runs. */
@@ -21,6 +23,7 @@
     private final TrackedStep step;
     private final TaskId id;
     private final SortedSet<Long> failedRuns = new TreeSet<>();
+    private final CrashHistory crashes = new CrashHistory();
     private final List<Placement> placements = new ArrayList<>(1);
     private final Set<WorkerId> failedOn = new HashSet<>();
     private long failedNanos;
@@ -30,6 +33,8 @@
     private long lastRun;
     private String checkpoint = "";
     private long notBeforeNanos = Long.MIN_VALUE;
+    private long crashesChange;
+    private long announcedRun;
 
     Task(TrackedStep step, int index) {
         this.step = step;
@@ -53,6 +58,56 @@
         return failedRuns;
     }
 
+    /** Returns the runs under which workers have crashed. */
+    public CrashHistory crashes() {
+        return crashes;
+    }
+
+    /** Records that the crashes have changed with the last change of the submission. */
+    void setCrashesChanged() {
+        crashesChange = step.submission().changes();
+    }
+
+    /** Announces the next run, in isolation; it may start once this is stored. */
+    void announce(long run) {
+        announcedRun = run;
+    }
+
+    /** Returns whether the next run is announced. */
+    boolean isNextRunAnnounced() {
+        return announcedRun > lastRun;
+    }
+
+    /** Returns the run that was announced last and may be active; 0 if there is none. */
+    public long announcedRun() {
+        return announcedRun;
+    }
+
+    /** Withdraws the announcement of a run that is not active; returns whether there was one. */
+    boolean clearAnnouncement(long run) {
+        boolean announced = announcedRun == run && run > 0;
+        announcedRun = announced ? 0 : announcedRun;
+        return announced;
+    }
+
+    /**
+     * Restores the announcement of an earlier owner: the run counts as one whose worker has crashed
+     * unless a worker lists it.
+     */
+    public void restoreAnnouncement(long run) {
+        if (run > 0) {
+            crashes.add(new Crash(run, Kind.UNSEEN));
+        }
+    }
+
+    /**
+     * Returns whether the task may be the cause of a crash, so that it is to run in isolation.
+     * Members of a gang start together, so they do not.
+     */
+    boolean needsIsolation() {
+        return !isOver() && crashes.isSuspect() && !step.spec().gang();
+    }
+
     /**
      * Returns whether no run of the task is wanted any more: it is done, or its submission ended.
      */
@@ -148,7 +203,19 @@
      * Returns whether a run may begin: none is active, none has completed, and no delay is pending.
      */
     boolean isStartable(long now) {
-        return !done && placements.isEmpty() && !isExhausted() && !isPaused(now);
+        return !done
+                && placements.isEmpty()
+                && !isExhausted()
+                && !isPaused(now)
+                && areCrashesStored();
+    }
+
+    /**
+     * Returns whether the crashes of a suspect and the announcement of its next run are stored.
+     * Otherwise one start more could go unnoticed with each change of the owner.
+     */
+    private boolean areCrashesStored() {
+        return !crashes.isSuspect() || step.submission().stored() >= crashesChange;
     }
 
     /**
@@ -159,6 +226,7 @@
         int attempts = failedRuns.size() + MAX_RUNS_WITH_COPY;
         return !isOver()
                 && placements.size() == 1
+                && crashes.isEmpty()
                 && allowsAnotherRun()
                 && attempts <= step.submission().maxAttempts()
                 && !isPaused(now);
@@ -178,11 +246,13 @@
     }
 
     /**
-     * Returns whether all attempts have failed while a copy was left. The submission fails once no
-     * run is left.
+     * Returns whether all attempts have failed while a copy was left, or too many workers have
+     * crashed. The submission fails once no run is left.
      */
     boolean isExhausted() {
-        return step.allowsCopies() && failedRuns.size() >= step.submission().maxAttempts();
+        boolean hasFailed =
+                step.allowsCopies() && failedRuns.size() >= step.submission().maxAttempts();
+        return hasFailed || crashes.isLimitReached();
     }
 
     private boolean isPaused(long now) {
--- a/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
@@ -45,6 +45,8 @@
     private long lastResultNanos = Long.MIN_VALUE;
     private final WorkerSpeed speed = new WorkerSpeed();
     private boolean onTrial;
+    private boolean held;
+    private final List<Placement> isolated = new ArrayList<>();
     private int longRunning;
 
     /**
@@ -245,8 +247,36 @@
      * one is done; long-running tasks, which never are, do not count.
      */
     public boolean acceptsRuns(long now) {
+        return !held && acceptsSuspects(now);
+    }
+
+    /** Returns whether new runs may be placed here, also while the worker is held for suspects. */
+    boolean acceptsSuspects(long now) {
         boolean trialTaken = onTrial && placements.size() > longRunning;
-        return usable && !draining && !evacuating && !isQuarantined(now) && !trialTaken;
+        return usable
+                && !draining
+                && !evacuating
+                && !isQuarantined(now)
+                && !trialTaken
+                && isolatedRuns(now).isEmpty();
+    }
+
+    /** Sets whether the worker is to be emptied for tasks that may crash it. */
+    void setHeld(boolean value) {
+        held = value;
+    }
+
+    /** Returns the runs because of which nothing else may begin here. */
+    List<Placement> isolatedRuns(long now) {
+        return isolated.isEmpty()
+                ? List.of()
+                : isolated.stream().filter(p -> p.isOnProbation(now)).toList();
+    }
+
+    /** Keeps other runs from beginning here while a placed run is on probation. */
+    void isolate(Placement placement, long probationNanos) {
+        placement.setProbation(probationNanos);
+        isolated.add(placement);
     }
 
     /** Returns how long runs take here in relation to other workers. */
@@ -347,6 +377,7 @@
     void remove(Placement placement) {
         if (placements.remove(placement.task().id(), placement)) {
             placement.task().placements().remove(placement);
+            isolated.remove(placement);
             used = used.minus(placement.task().step().spec().reserved());
             placement.task().step().submission().customerUse().remove(demand(placement));
             if (placement.task().step().spec().longRunning()) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/NoticeLog.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/NoticeLog.java
@@ -6,7 +6,7 @@
 import org.crocusgrade.daemon.log.Event;
 import org.crocusgrade.daemon.log.EventLog;
 
-/** Logs the copies of slow tasks and the speed of workers. */
+/** Logs the copies of slow tasks, the speed of workers, and the crashes of workers. */
 final class NoticeLog {
     private static final int PERCENT = 100;
 
@@ -16,8 +16,22 @@
         this.log = Objects.requireNonNull(log);
     }
 
-    /** Logs that a run was ordered, if it is a copy of a slow one. */
+    /** Logs that a run was ordered, if it is a copy of a slow one or isolated. */
     void onStart(Placement placement) {
+        if (placement.isIsolated()) {
+            log.log(
+                    Event.RUN_ISOLATED,
+                    "task",
+                    placement.task().id(),
+                    "run",
+                    placement.run(),
+                    "worker",
+                    placement.worker().id(),
+                    "neighbours",
+                    placement.worker().placements().size() - 1,
+                    "crashes",
+                    placement.task().crashes().size());
+        }
         placement
                 .copyReason()
                 .ifPresent(
@@ -55,6 +69,58 @@
                     changed.worker(),
                     "percent",
                     Math.round(changed.slowdown() * PERCENT));
+        } else {
+            logCrash(notice);
+        }
+    }
+
+    private void logCrash(Notice notice) {
+        if (notice instanceof Notice.WorkerCrashed crashed) {
+            log.log(
+                    Event.WORKER_CRASHED,
+                    "worker",
+                    crashed.worker(),
+                    "runs",
+                    crashed.runs(),
+                    "just-begun",
+                    crashed.early());
+        } else if (notice instanceof Notice.CrashCounted counted) {
+            log.log(
+                    Event.CRASH_COUNTED,
+                    "task",
+                    counted.task(),
+                    "run",
+                    counted.run(),
+                    "worker",
+                    counted.worker(),
+                    "just-begun",
+                    counted.early(),
+                    "crashes",
+                    counted.crashes());
+        } else if (notice instanceof Notice.CrashAttributed attributed) {
+            log.log(
+                    Event.CRASH_ATTRIBUTED,
+                    "task",
+                    attributed.task(),
+                    "run",
+                    attributed.run(),
+                    "worker",
+                    attributed.worker(),
+                    "crashes",
+                    attributed.crashes(),
+                    "sole-cause",
+                    attributed.sole());
+        } else if (notice instanceof Notice.CrashWithdrawn withdrawn) {
+            log.log(Event.CRASH_WITHDRAWN, "worker", withdrawn.worker(), "runs", withdrawn.runs());
+        } else if (notice instanceof Notice.TaskGivenUp given) {
+            log.log(
+                    Event.TASK_GIVEN_UP,
+                    "task",
+                    given.task(),
+                    "crashes",
+                    given.crashes(),
+                    "sole-cause",
+                    given.sole());
         }
     }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -306,6 +306,9 @@
     public void onWritten() {
         requests.onWritten();
         poolWorkers.sessions().forEach(WorkerSession::onStored);
+        if (scheduler.hasSuspects()) {
+            schedulePlan();
+        }
     }
 
     @Override
@@ -335,7 +338,7 @@
         scheduler.onReport(
                 session.node(), requestedNanos, report.running(), report.ends(), now, wall);
         logEnds(session, report.ends(), lastKnownEnd);
-        scheduler.takeNotices().forEach(noticeLog::log);
+        logNotices();
         writer.scheduleFlush();
         schedulePlan();
     }
@@ -358,6 +361,17 @@
         }
     }
 
+    @Override
+    public void onConnectionLost(WorkerSession session) {
+        scheduler.onConnectionLost(session.node(), runtime.clock().nanoTime());
+        logNotices();
+        writer.scheduleFlush();
+    }
+
+    private void logNotices() {
+        scheduler.takeNotices().forEach(noticeLog::log);
+    }
+
     @Override
     public void onStartAnswer(
             WorkerSession session, Placement placement, StartAnswer answer, String detail) {
@@ -439,6 +453,7 @@
             poolWorkers.send(order);
         }
         scheduler.takeShareChanges().forEach(orderLog::onShareChange);
+        logNotices();
         writer.scheduleFlush();
         requestAdvice(now);
         planTimer.onRound(now, runtime.clock().nanoTime());
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordCodec.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordCodec.java
@@ -10,6 +10,8 @@
 import org.crocusgrade.core.id.QueueId;
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.core.port.FormatException;
+import org.crocusgrade.core.schedule.CrashHistory.Crash;
+import org.crocusgrade.core.schedule.CrashHistory.Kind;
 import org.crocusgrade.core.schedule.Task;
 import org.crocusgrade.core.schedule.TrackedStep;
 import org.crocusgrade.core.schedule.TrackedSubmission;
@@ -17,6 +19,7 @@
 import org.crocusgrade.core.submission.SubmissionId;
 import org.crocusgrade.core.submission.SubmissionState;
 import org.crocusgrade.core.submission.TaskId;
+import org.crocusgrade.peer.proto.StoredCrash;
 import org.crocusgrade.peer.proto.StoredProgress;
 import org.crocusgrade.peer.proto.StoredStep;
 import org.crocusgrade.peer.proto.StoredSubmission;
@@ -97,9 +100,7 @@
         }
         for (StoredTask stored : record.getTasksList()) {
             StepId step = new StepId(id, (int) stored.getOccurrence(), stored.getStep());
-            submission
-                    .task(new TaskId(step, stored.getIndex()))
-                    .ifPresent(t -> t.restore(stored.getFailedRunsList(), stored.getCheckpoint()));
+            submission.task(new TaskId(step, stored.getIndex())).ifPresent(t -> restore(t, stored));
         }
         Optional<Instant> ended =
                 record.getFinalEpochMs() == 0
@@ -108,21 +109,35 @@
         submission.restore(SubmissionState.values()[record.getState()], ended, record.getBegun());
     }
 
+    private static void restore(Task task, StoredTask stored) {
+        task.restore(stored.getFailedRunsList(), stored.getCheckpoint());
+        task.restoreAnnouncement(stored.getAnnouncedRun());
+        for (StoredCrash crash : stored.getCrashesList()) {
+            task.crashes().put(new Crash(crash.getRun(), Kind.values()[crash.getKind()]));
+        }
+    }
+
     private static void addStep(StoredProgress.Builder record, TrackedStep step) {
         BitSet done = new BitSet(step.tasks().size());
         for (Task task : step.tasks()) {
             done.set(task.id().index(), task.isDone());
-            boolean plain = task.failedRuns().isEmpty() && task.checkpoint().isEmpty();
+            boolean plain =
+                    task.failedRuns().isEmpty()
+                            && task.checkpoint().isEmpty()
+                            && task.crashes().isEmpty();
             if (task.isDone() || plain) {
                 continue;
             }
-            record.addTasks(
+            StoredTask.Builder stored =
                     StoredTask.newBuilder()
                             .setOccurrence(step.id().occurrence())
                             .setStep(step.id().step())
                             .setIndex(task.id().index())
                             .addAllFailedRuns(task.failedRuns())
-                            .setCheckpoint(task.checkpoint()));
+                            .setCheckpoint(task.checkpoint())
+                            .setAnnouncedRun(task.announcedRun());
+            task.crashes().crashes().forEach(c -> stored.addCrashes(stored(c)));
+            record.addTasks(stored);
         }
         if (!done.isEmpty()) {
             record.addSteps(
@@ -132,4 +147,8 @@
                             .setDone(ByteString.copyFrom(done.toByteArray())));
         }
     }
+
+    private static StoredCrash stored(Crash crash) {
+        return StoredCrash.newBuilder().setRun(crash.run()).setKind(crash.kind().ordinal()).build();
+    }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -86,6 +86,7 @@
     private long acknowledged;
 
     private int failures;
+    private boolean connectionLost;
     private boolean calibrated;
     private long clockMillis;
     private long clockReadNanos;
@@ -297,6 +298,7 @@
             runtime.log().log(Event.DEPENDENCY_REGAINED, "worker", node.id(), "failures", failures);
         }
         failures = 0;
+        connectionLost = false;
         acknowledged = Math.max(acknowledged, cursor);
         calibrate(report.clockMillis());
         fenced = true;
@@ -327,6 +329,10 @@
                 listener.onDead(this, "another worker answers");
                 return;
             }
+            if (e.isConnectionLost() && !connectionLost) {
+                connectionLost = true;
+                listener.onConnectionLost(this);
+            }
         }
         if (++failures == SILENT_AFTER_FAILURES) {
             runtime.log().log(
@@ -375,6 +381,11 @@
         /** Called when the worker has listed its runs and their ends. */
         void onReport(WorkerSession session, long requestedNanos, WorkerReport report);
 
+        /**
+         * Called when the worker has closed or refused a connection, once until it answers again.
+         */
+        void onConnectionLost(WorkerSession session);
+
         /** Called when a start was answered or its call failed. */
         void onStartAnswer(
                 WorkerSession session, Placement placement, StartAnswer answer, String detail);
--- a/daemon/src/main/java/org/crocusgrade/daemon/log/Event.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/log/Event.java
@@ -47,6 +47,8 @@
     SUBMISSION_ENDED(203, Level.INFO),
     /** A customer has begun or ceased to use more than its share of a pool. */
     CUSTOMER_SHARE(204, Level.INFO),
+    /** A task was given up because workers crashed under it, and its submission with it. */
+    TASK_GIVEN_UP(205, Level.WARNING),
     /** The start of a run was ordered. */
     RUN_ORDERED(300, Level.INFO),
     /** A run could not be started, or it is unknown whether it was. */
@@ -81,6 +83,12 @@
     WORKER_NOT_SLOW(315, Level.INFO),
     /** The capacity that a worker reports has changed. */
     WORKER_RESIZED(316, Level.INFO),
+    /** A worker has closed or refused a connection while it had runs. */
+    WORKER_CRASHED(317, Level.WARNING),
+    /** The crash of a worker was counted for a task that may be the cause. */
+    CRASH_COUNTED(318, Level.INFO),
+    /** No submission but one can have caused the crash of a worker. */
+    CRASH_ATTRIBUTED(319, Level.WARNING),
     /** The fleet duty was taken over with the handover state of the previous holder. */
     FLEET_TAKEN_OVER(324, Level.INFO),
     /** The demand of a pool's queue has risen far above its usual level. */
@@ -107,6 +115,10 @@
     POOL_HOSTS(333, Level.INFO),
     /** The number of hosts changed that a pool lacks for tasks which no worker has room for. */
     HOSTS_LACKING(334, Level.INFO),
+    /** A worker that seemed to have crashed has answered. */
+    CRASH_WITHDRAWN(335, Level.INFO),
+    /** A task that may crash its worker was started on one where nothing else begins. */
+    RUN_ISOLATED(336, Level.INFO),
     /** The state of a wave was written. */
     WAVE_STATUS(323, Level.INFO),
     /** A read or write of the platform's store failed. */
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FaultInjectionTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FaultInjectionTest.java
@@ -31,6 +31,10 @@
     private static final int COPY_SEED_DIVISOR = 4;
 
     private static final int ROUNDS = 30;
+
+    /** In one of so many rounds a submission is made that crashes workers. */
+    private static final int CRASHING_ROUNDS = 5;
+
     private static final long ROUND_MILLIS = 1000;
     private static final long RECOVERY_MILLIS = 40_000;
 
@@ -178,6 +182,24 @@
         recoverAndCheck(fleet, seed);
     }
 
+    /**
+     * Some submissions crash each worker that starts them. Guards against a count of crashes that
+     * is lost with an owner, an incarnation or a write, and against innocent submissions that are
+     * given up beside them.
+     */
+    @ParameterizedTest
+    @MethodSource("copySeeds")
+    void guaranteesHoldUnderFaultsWithTasksThatCrashWorkers(long seed) {
+        SimFleet fleet = new SimFleet(seed);
+        for (int round = 0; round < ROUNDS; round++) {
+            if (round % CRASHING_ROUNDS == 0) {
+                fleet.submitCrashing();
+            }
+            runRound(fleet);
+        }
+        recoverAndCheck(fleet, seed);
+    }
+
     static List<Long> copySeeds() {
         List<Long> seeds = seeds();
         return seeds.subList(0, Math.max(1, seeds.size() / COPY_SEED_DIVISOR));
@@ -243,7 +265,11 @@
                 fleet.time.afterMillis(6000, () -> worker.setUnresponsive(false));
             }
             case 6, 7 -> {
-                worker.crash();
+                if (kind == 6) {
+                    worker.crash();
+                } else {
+                    worker.crashVisibly();
+                }
                 fleet.time.afterMillis(
                         500 + fleet.random.nextInt(4000),
                         () -> {
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimChecks.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimChecks.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.submission.SubmissionId;
 import org.crocusgrade.core.submission.TaskEnd;
@@ -17,12 +18,18 @@
  * violations.
  */
 final class SimChecks {
+    /** A task is started no more than twice after it has crashed three workers. */
+    private static final int MAX_CRASHES = 5;
+
     private final SimTime time;
     private final Map<TaskId, List<WorkerId>> running = new HashMap<>();
     private final Set<SubmissionId> copiesAllowed = new HashSet<>();
     private final Set<TaskId> done = new HashSet<>();
     private final Map<SubmissionId, Integer> openAttempts = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
+    private final Set<SubmissionId> crashing = new HashSet<>();
+    private final Map<TaskId, Integer> crashes = new HashMap<>();
+    private Consumer<SimWorker> onRestart = w -> {};
     private int starts;
     private int copies;
 
@@ -42,6 +49,10 @@
 
     void started(WorkerId worker, TaskId task, long run) {
         starts++;
+        if (crashes.getOrDefault(task, 0) >= MAX_CRASHES) {
+            addViolation(
+                    task + " run " + run + " after it has crashed " + MAX_CRASHES + " workers");
+        }
         List<WorkerId> others = running.computeIfAbsent(task, t -> new ArrayList<>());
         boolean mayOverlap = copiesAllowed.contains(task.step().submission());
         boolean isCopy = mayOverlap && others.size() == 1 && !others.contains(worker);
@@ -70,6 +81,33 @@
         }
     }
 
+    /** Lets the tasks of a submission crash each worker that starts them. */
+    void setCrashing(SubmissionId id) {
+        crashing.add(id);
+    }
+
+    boolean crashesWorkers(SubmissionId id) {
+        return crashing.contains(id);
+    }
+
+    void crashed(TaskId task) {
+        crashes.merge(task, 1, Integer::sum);
+    }
+
+    /** Returns how many workers each task has crashed. */
+    Map<TaskId, Integer> crashes() {
+        return crashes;
+    }
+
+    /** Sets what to do when a worker is back after the crash by a task. */
+    void setOnRestart(Consumer<SimWorker> step) {
+        onRestart = step;
+    }
+
+    void restarted(SimWorker worker) {
+        onRestart.accept(worker);
+    }
+
     /** Records that two runs of a submission's tasks may overlap, on different workers. */
     void allowCopies(SubmissionId id) {
         copiesAllowed.add(id);
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimWorker.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimWorker.java
@@ -24,6 +24,8 @@
 final class SimWorker {
     private static final long MAX_LEASE_MILLIS = 6000;
     private static final double CLOCK_RATE = 0.985;
+    private static final long CRASH_MILLIS = 10;
+    private static final long RESTART_MILLIS = 3400;
 
     final WorkerId id;
     private final SimTime time;
@@ -35,6 +37,7 @@
     private final List<TaskEnd> ends = new ArrayList<>();
     private final Map<TaskId, Long> refusedUpTo = new HashMap<>();
     private final Set<Runnable> waiting = new LinkedHashSet<>();
+    private final List<Runnable> connections = new ArrayList<>();
     private long highestToken;
     private long startedEpochMillis;
     private long startedNanos;
@@ -43,6 +46,7 @@
     private int incarnation;
     private boolean unresponsive;
     private boolean down;
+    private boolean refuses;
     private boolean slowRuns;
     private long milliCores = SimFleet.CAPACITY.milliCores();
 
@@ -98,10 +102,31 @@
         running.clear();
     }
 
+    /** Ends the process of the worker: its connections are closed, and new ones are refused. */
+    void crashVisibly() {
+        crash();
+        refuses = true;
+        List<Runnable> closed = List.copyOf(connections);
+        connections.clear();
+        closed.forEach(Runnable::run);
+    }
+
+    /** Returns whether connections are refused. */
+    boolean isRefusing() {
+        return refuses;
+    }
+
+    /** Calls a step when the connection of a call is closed by a crash. */
+    void onConnectionClosed(Runnable step) {
+        connections.add(step);
+    }
+
     /** Starts a new incarnation under the same name, without any state. */
     void restart() {
         crash();
         down = false;
+        refuses = false;
+        connections.clear();
         ends.clear();
         refusedUpTo.clear();
         highestToken = 0;
@@ -144,6 +169,9 @@
         running.put(order.task(), new Run(order.run()));
         checks.started(id, order.task(), order.run());
         int startedIn = incarnation;
+        if (checks.crashesWorkers(order.task().step().submission())) {
+            time.afterMillis(CRASH_MILLIS, () -> crashBy(startedIn, order.task()));
+        }
         if (taskMillis > 0) {
             boolean isSlow = slowRuns && (order.task().hashCode() + order.run()) % 10 == 0;
             long millis = isSlow ? 7 * taskMillis : taskMillis;
@@ -221,6 +249,22 @@
                 });
     }
 
+    private void crashBy(int startedIn, TaskId task) {
+        if (startedIn != incarnation || !running.containsKey(task)) {
+            return;
+        }
+        checks.crashed(task);
+        crashVisibly();
+        time.afterMillis(
+                RESTART_MILLIS,
+                () -> {
+                    if (down) {
+                        restart();
+                        checks.restarted(this);
+                    }
+                });
+    }
+
     private void finish(int startedIn, TaskId task, long run) {
         Run held = running.get(task);
         if (startedIn == incarnation && held != null && held.number == run) {
