Empty no worker for a suspect whose customer is at its limit

By review: a worker was held for a suspect that could not start, as long as its customer was at its limit, so others of the pool had a worker less.

--- a/core/src/main/java/org/crocusgrade/core/schedule/CrashTracker.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/CrashTracker.java
@@ -17,7 +17,7 @@
  * the others the crash only counts. A suspect runs next in isolation (see {@link
  * IsolationPlanner}): until it has outlived its probation, nothing else begins on its worker. If
  * that worker crashes as well, no other submission can be the cause. A task is given up after two
- * such crashes, and after four that came right after a start, of any kind.
+ * such crashes; {@link CrashHistory} has the limits for others.
  *
  * <p>An innocent task is given up only if other causes crash two of its workers, each within the
  * short time after a start in which nothing else began there. A crash in bulk also hits workers on
--- a/core/src/main/java/org/crocusgrade/core/schedule/IsolationPlanner.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/IsolationPlanner.java
@@ -97,7 +97,8 @@
             TrackedStep step = task.step();
             TrackedSubmission submission = step.submission();
             boolean mayHaveOtherRuns = submission.isInherited() && !pool.isSettled();
-            if (!mayHaveOtherRuns && task.isStartable(now) && submission.isReady(step, wall)) {
+            boolean isReady = submission.isReady(step, wall) && !starts.isAtLimit(step);
+            if (!mayHaveOtherRuns && task.isStartable(now) && isReady) {
                 groups.computeIfAbsent(step, s -> new ArrayList<>()).add(task);
             }
         }
