Repeat a call to a worker whose answer is late

From 5.4 to 7.0 s the surging pool, with 20 hosts full of runs, saw no end of a run and started next to nothing (23 ends in a second, 448 before).

Cause, from the owner's log: a poll without an answer hides all runs of its worker for 2.2 s (worker-silent "no answer in 2200 ms" of all 20 workers between 7.03 and 7.66 s). Each worker is polled at every end, so within a second each has one poll that is not answered. A start without an answer holds its room for 800 ms. Ruled out: too few hosts (the workers were full of ended runs), a busy owner (requests were answered in 10 ms), the store.

A poll is repeated when its answer is late by what answers usually take and by the expected end of the runs; its first answer with new ends counts. Starts and stops are repeated once: they name a run, so a worker carries them out once. If a start was sent twice, only an answer that it runs decides, else the run is stopped as before.

The stand-in's polls now time out after their wait too, as real ones do.

--- a/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
@@ -118,6 +118,11 @@
         return phase;
     }
 
+    /** Returns whether the start order is neither answered nor shown to be carried out. */
+    public boolean isStarting() {
+        return phase == Phase.STARTING;
+    }
+
     void enter(Phase next, long now) {
         phase = next;
         absenceProvableAfterNanos = now;
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -1,5 +1,6 @@
 package org.crocusgrade.core.schedule;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -34,6 +35,8 @@
     /** The delay before a task whose start was refused is tried again, in nanoseconds. */
     private static final long REFUSED_PAUSE_NANOS = 100_000_000L;
 
+    private static final double NANOS_PER_MILLI = 1e6;
+
     private final PoolState pool;
     private final RunTimeModel times = new RunTimeModel();
     private final WorkEstimator estimator = new WorkEstimator(times);
@@ -317,6 +320,25 @@
         placement.paceAnswered(percent, answered);
     }
 
+    /**
+     * Returns the time until the first of the batch runs of a worker is expected to end, 0 if it is
+     * overdue; empty if there is none.
+     */
+    public Optional<Duration> nextEnd(WorkerNode worker, long now) {
+        double next = Double.POSITIVE_INFINITY;
+        for (Placement placement : worker.placements()) {
+            TrackedStep step = placement.task().step();
+            if (!step.spec().longRunning()) {
+                double millis = times.predictMillis(step.submission().queue(), step.spec());
+                double age = (now - placement.orderedNanos()) / NANOS_PER_MILLI;
+                next = Math.min(next, Math.max(0, millis - age));
+            }
+        }
+        return Double.isInfinite(next)
+                ? Optional.empty()
+                : Optional.of(Duration.ofMillis((long) next));
+    }
+
     /** Returns what was found since the last call, for the log. */
     public List<Notice> takeNotices() {
         List<Notice> taken = new ArrayList<>(crashes.takeNotices());
--- a/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
@@ -142,6 +142,11 @@
         return longRunning;
     }
 
+    /** Returns whether there are runs of tasks that are not long-running. */
+    public boolean hasBatchRuns() {
+        return placements.size() > longRunning;
+    }
+
     /** Returns what long-running tasks have reserved. */
     Resources longRunningReserved() {
         Resources sum = Resources.NONE;
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -330,6 +330,11 @@
         return duty.isConfirmedWithin(MAX_CONFIRMATION_AGE);
     }
 
+    @Override
+    public Optional<Duration> nextEnd(WorkerSession session) {
+        return scheduler.nextEnd(session.node(), runtime.clock().nanoTime());
+    }
+
     @Override
     public void onReport(WorkerSession session, long requestedNanos, WorkerReport report) {
         long now = runtime.clock().nanoTime();
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
@@ -14,6 +14,7 @@
 import org.crocusgrade.core.port.WorkerEntry;
 import org.crocusgrade.core.schedule.Order;
 import org.crocusgrade.core.schedule.PoolScheduler;
+import org.crocusgrade.core.schedule.RepeatDelay;
 import org.crocusgrade.core.schedule.WorkerNode;
 import org.crocusgrade.core.submission.Resources;
 import org.crocusgrade.daemon.log.Event;
@@ -36,11 +37,15 @@
      */
     private static final Duration MAX_ORDER_DELAY = Duration.ofSeconds(6);
 
+    /** Half of an order's time-out: a repetition that is sent later hardly helps. */
+    private static final Duration MAX_REPEAT_DELAY = Duration.ofMillis(400);
+
     private final BatchRuntime runtime;
     private final ServiceId service;
     private final DutyOwnership ownership;
     private final PoolScheduler scheduler;
     private final WorkerSession.Listener listener;
+    private final RepeatDelay orderDelay = new RepeatDelay(MAX_REPEAT_DELAY);
     private final Map<WorkerId, WorkerSession> sessions = new TreeMap<>();
     private final Map<WorkerId, EndedIncarnation> endedIncarnations = new HashMap<>();
     private final long tookOverNanos;
@@ -140,7 +145,7 @@
                         entry.capacity());
         node.setEvacuating(evacuating.contains(entry.worker()));
         WorkerSession session =
-                new WorkerSession(runtime, node, entry, ownership.token(), listener);
+                new WorkerSession(runtime, node, entry, ownership.token(), orderDelay, listener);
         sessions.put(entry.worker(), session);
         EndedIncarnation last = endedIncarnations.remove(entry.worker());
         if (last == null) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -1,6 +1,8 @@
 package org.crocusgrade.daemon.batch;
 
+import io.smallrye.mutiny.subscription.Cancellable;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.crocusgrade.core.port.OrderException;
 import org.crocusgrade.core.port.WorkerEntry;
@@ -12,6 +14,7 @@
 import org.crocusgrade.core.port.WorkerOrders.WorkerReport;
 import org.crocusgrade.core.schedule.Order;
 import org.crocusgrade.core.schedule.Placement;
+import org.crocusgrade.core.schedule.RepeatDelay;
 import org.crocusgrade.core.schedule.StartAnswer;
 import org.crocusgrade.core.schedule.WorkerNode;
 import org.crocusgrade.daemon.log.Event;
@@ -19,25 +22,13 @@
 
 /**
  * The session of a pool's owner with one incarnation of a worker. It keeps one long poll open,
- * which extends the lease of all runs and returns the ends of runs, and it sends the orders.
- *
- * <p>The clock of the worker is known from its last answer. It may be 2% slow, so a lease that ends
- * at U on a clock that showed C in an answer received at time t has ended at the latest at t + (U -
- * C) / 0.98. When that time has passed without an answer, the worker no longer executes any run.
+ * which extends the lease of all runs and returns the ends of runs, and it sends the orders. Calls
+ * whose answers are late are repeated (see {@link RepeatDelay}).
  */
 final class WorkerSession {
     /** How long the worker may delay its answer to a poll until a run ends. */
     static final Duration POLL_WAIT = Duration.ofMillis(1500);
 
-    /**
-     * Duration of the lease of runs, in milliseconds: long enough for a takeover while the last
-     * poll was open.
-     */
-    private static final long RUN_LEASE_MILLIS = 4800;
-
-    /** Slowest rate of a worker's clock that the interface of the platform allows. */
-    private static final double SLOWEST_CLOCK = 0.98;
-
     /** Delay after a poll without an answer, in milliseconds. */
     private static final long RETRY_MILLIS = 200;
 
@@ -75,7 +66,10 @@
     private boolean registered = true;
     private boolean fenced;
     private boolean closed;
-    private boolean polling;
+    private final RepeatDelay orderDelay;
+    private final RepeatDelay pollDelay = new RepeatDelay(POLL_WAIT);
+    private final RunLease lease;
+    private Optional<PollRound> round = Optional.empty();
     private long listedEnd;
 
     /**
@@ -87,19 +81,18 @@
 
     private int failures;
     private boolean connectionLost;
-    private boolean calibrated;
-    private long clockMillis;
-    private long clockReadNanos;
-    private long leaseUntilMillis;
 
     WorkerSession(
             BatchRuntime runtime,
             WorkerNode node,
             WorkerEntry entry,
             long token,
+            RepeatDelay orderDelay,
             Listener listener) {
         this.runtime = runtime;
         this.node = node;
+        this.orderDelay = orderDelay;
+        lease = new RunLease(runtime);
         this.target = new Target(entry.worker(), entry.address(), token);
         this.listener = listener;
     }
@@ -154,17 +147,12 @@
 
     /** Returns whether the leases of all runs have certainly ended. */
     boolean areLeasesExpired() {
-        if (!calibrated) {
-            return false;
-        }
-        double left = (leaseUntilMillis - clockMillis) / SLOWEST_CLOCK;
-        long end = clockReadNanos + (long) (left * NANOS_PER_MILLI);
-        return failures > 0 && runtime.clock().nanoTime() - end > 0;
+        return failures > 0 && lease.isExpired();
     }
 
     /** Polls immediately if the next poll waits only for listed ends to be stored. */
     void onStored() {
-        if (!polling && failures == 0 && fenced && node.ackCursor() >= listedEnd) {
+        if (round.isEmpty() && failures == 0 && fenced && node.ackCursor() >= listedEnd) {
             poll();
         }
     }
@@ -191,31 +179,42 @@
                 .subscribe()
                 .with(
                         clock -> {
-                            calibrate(clock);
+                            lease.calibrate(clock);
                             listener.onPaceAnswer(pace, true);
                         },
                         f -> listener.onPaceAnswer(pace, false));
     }
 
     private void sendStart(Placement placement) {
-        extendTo(leaseEnd());
         StartRun order =
                 new StartRun(
                         placement.task().id(),
                         placement.run(),
                         placement.task().step().submission().spec().payload(),
-                        leaseUntilMillis,
+                        lease.extend(),
                         placement.checkpoint(),
                         placement.ticket());
-        runtime.orders()
-                .start(target, order)
-                .emitOn(runtime.loop())
-                .subscribe()
-                .with(r -> onStarted(placement, r), f -> onStartFailure(placement, f));
+        new RepeatedOrder<>(
+                        runtime,
+                        orderDelay,
+                        () -> runtime.orders().start(target, order),
+                        () -> !closed && placement.isStarting(),
+                        new RepeatedOrder.Result<StartReply>() {
+                            @Override
+                            public void onAnswer(StartReply reply, boolean repeated) {
+                                onStarted(placement, reply, repeated);
+                            }
+
+                            @Override
+                            public void onFailure(Throwable failure, boolean mayHaveArrived) {
+                                onStartFailure(placement, failure, mayHaveArrived);
+                            }
+                        })
+                .send();
     }
 
-    private void onStarted(Placement placement, StartReply reply) {
-        reply.clockMillis().ifPresent(this::calibrate);
+    private void onStarted(Placement placement, StartReply reply, boolean repeated) {
+        reply.clockMillis().ifPresent(lease::calibrate);
         StartAnswer answer =
                 switch (reply.outcome()) {
                     case STARTED -> StartAnswer.STARTED;
@@ -224,54 +223,83 @@
                     case SUPERSEDED -> StartAnswer.SUPERSEDED;
                     default -> StartAnswer.REFUSED;
                 };
+        boolean fencedOff = reply.outcome() == StartOutcome.FENCED;
+        if (repeated && answer != StartAnswer.STARTED && !fencedOff) {
+            answer = StartAnswer.UNKNOWN;
+        }
         listener.onStartAnswer(this, placement, answer, reply.outcome().name());
-        if (reply.outcome() == StartOutcome.FENCED) {
+        if (fencedOff) {
             listener.onFencedOff(this);
         }
     }
 
-    private void onStartFailure(Placement placement, Throwable failure) {
-        StartAnswer answer = StartAnswer.UNKNOWN;
-        if (failure instanceof OrderException e) {
-            boolean neverSent =
-                    e.kind() == OrderException.Kind.NOT_SENT
-                            || e.kind() == OrderException.Kind.OTHER_INCARNATION;
-            answer = neverSent ? StartAnswer.NOT_SENT : StartAnswer.UNKNOWN;
-        }
+    private void onStartFailure(Placement placement, Throwable failure, boolean mayHaveArrived) {
+        StartAnswer answer = mayHaveArrived ? StartAnswer.UNKNOWN : StartAnswer.NOT_SENT;
         listener.onStartAnswer(this, placement, answer, String.valueOf(failure.getMessage()));
     }
 
     private void sendStop(Order.Stop stop) {
-        runtime.orders()
-                .stop(target, stop.task(), stop.run())
-                .emitOn(runtime.loop())
-                .subscribe()
-                .with(
-                        clock -> {
-                            calibrate(clock);
-                            stop.placement().ifPresent(p -> listener.onStopAnswer(p, true));
-                        },
-                        f -> stop.placement().ifPresent(p -> listener.onStopAnswer(p, false)));
+        new RepeatedOrder<>(
+                        runtime,
+                        orderDelay,
+                        () -> runtime.orders().stop(target, stop.task(), stop.run()),
+                        () -> !closed,
+                        new RepeatedOrder.Result<Long>() {
+                            @Override
+                            public void onAnswer(Long clock, boolean repeated) {
+                                lease.calibrate(clock);
+                                stop.placement().ifPresent(p -> listener.onStopAnswer(p, true));
+                            }
+
+                            @Override
+                            public void onFailure(Throwable failure, boolean mayHaveArrived) {
+                                stop.placement().ifPresent(p -> listener.onStopAnswer(p, false));
+                            }
+                        })
+                .send();
     }
 
     private void poll() {
-        if (closed || polling) {
+        if (closed || round.isPresent()) {
             return;
         }
-        polling = true;
-        OptionalLong lease = OptionalLong.empty();
-        if (calibrated && failures == 0 && listener.mayExtendLeases()) {
-            extendTo(leaseEnd());
-            lease = OptionalLong.of(leaseUntilMillis);
-        }
-        Duration wait = failures > 0 || !fenced ? Duration.ZERO : pollWait();
+        PollRound next = new PollRound(runtime.clock().nanoTime());
+        round = Optional.of(next);
+        next.first = send(next, failures > 0 || !fenced ? Duration.ZERO : pollWait(), false);
+        scheduleRepetition(next);
+    }
+
+    private Cancellable send(PollRound sent, Duration wait, boolean repeated) {
+        boolean mayExtend = failures == 0 && listener.mayExtendLeases();
+        OptionalLong until = mayExtend ? lease.extendIfCalibrated() : OptionalLong.empty();
         long requestedNanos = runtime.clock().nanoTime();
         long cursor = node.ackCursor();
-        runtime.orders()
-                .poll(target, new Poll(lease, cursor > acknowledged ? cursor : 0, wait))
+        return runtime.orders()
+                .poll(target, new Poll(until, cursor > acknowledged ? cursor : 0, wait))
                 .emitOn(runtime.loop())
                 .subscribe()
-                .with(r -> onReport(requestedNanos, cursor, r), this::onPollFailure);
+                .with(
+                        r -> onReport(sent, requestedNanos, cursor, r, repeated),
+                        f -> onPollFailure(sent, f, repeated));
+    }
+
+    /** Repeats a poll if none of the runs of the worker is seen to end for unusually long. */
+    private void scheduleRepetition(PollRound open) {
+        if (fenced && failures == 0) {
+            listener.nextEnd(this)
+                    .flatMap(pollDelay::delay)
+                    .ifPresent(d -> runtime.after(d.toMillis(), () -> repeat(open)));
+        }
+    }
+
+    private void repeat(PollRound open) {
+        if (isOpen(open) && node.hasBatchRuns()) {
+            send(open, Duration.ZERO, true);
+        }
+    }
+
+    private boolean isOpen(PollRound asked) {
+        return !closed && round.isPresent() && round.get() == asked;
     }
 
     private Duration pollWait() {
@@ -281,9 +309,17 @@
         return node.isShared() ? SHARED_WAIT : POLL_WAIT;
     }
 
-    private void onReport(long requestedNanos, long cursor, WorkerReport report) {
-        polling = false;
-        if (closed) {
+    /**
+     * Processes a report. A repeated poll that shows no new end leaves the first one open: the
+     * worker has delayed its answer, as it was asked to.
+     */
+    private void onReport(
+            PollRound asked,
+            long requestedNanos,
+            long cursor,
+            WorkerReport report,
+            boolean repeated) {
+        if (!isOpen(asked)) {
             return;
         }
         boolean otherIncarnation =
@@ -291,16 +327,19 @@
                         && report.startedEpochMillis().isPresent()
                         && report.startedEpochMillis().getAsLong() != node.startedEpochMillis();
         if (otherIncarnation) {
+            round = Optional.empty();
             listener.onOtherIncarnation(this, "another incarnation answers");
             return;
         }
+        boolean newEnds = report.ends().stream().anyMatch(e -> e.number() > listedEnd);
+        recordAnswer(asked, repeated, newEnds);
         if (failures > 0 && fenced) {
             runtime.log().log(Event.DEPENDENCY_REGAINED, "worker", node.id(), "failures", failures);
         }
         failures = 0;
         connectionLost = false;
         acknowledged = Math.max(acknowledged, cursor);
-        calibrate(report.clockMillis());
+        lease.calibrate(report.clockMillis());
         fenced = true;
         updateUsable();
         listener.onReport(this, requestedNanos, report);
@@ -308,16 +347,53 @@
             return;
         }
         report.ends().forEach(e -> listedEnd = Math.max(listedEnd, e.number()));
-        if (node.ackCursor() >= listedEnd) {
+        if (round.isPresent()) {
+            scheduleRepetition(asked);
+        } else if (node.ackCursor() >= listedEnd) {
             poll();
         } else {
             runtime.after(ACK_DELAY_MILLIS, this::poll);
         }
     }
 
-    private void onPollFailure(Throwable failure) {
-        polling = false;
-        if (closed) {
+    /** Ends the round of polls unless a repetition was in vain, and records the time it took. */
+    private void recordAnswer(PollRound asked, boolean repeated, boolean newEnds) {
+        if (!repeated) {
+            round = Optional.empty();
+            if (newEnds) {
+                long nanos = runtime.clock().nanoTime() - asked.sentNanos;
+                pollDelay.answeredAfter(Duration.ofNanos(nanos));
+            }
+            return;
+        }
+        asked.repetitionAnswered = true;
+        if (newEnds) {
+            round = Optional.empty();
+            asked.first.cancel();
+            runtime.log().log(
+                    Event.POLL_REPEATED,
+                    "worker",
+                    node.id(),
+                    "open-ms",
+                    (runtime.clock().nanoTime() - asked.sentNanos) / NANOS_PER_MILLI,
+                    "runs",
+                    node.placements().size());
+        } else {
+            pollDelay.repeatedInVain();
+        }
+    }
+
+    private void onPollFailure(PollRound asked, Throwable failure, boolean repeated) {
+        if (!isOpen(asked)) {
+            return;
+        }
+        if (repeated && !isFinal(failure)) {
+            scheduleRepetition(asked);
+            return;
+        }
+        round = Optional.empty();
+        if (asked.repetitionAnswered && !isFinal(failure)) {
+            poll();
             return;
         }
         if (failure instanceof OrderException e) {
@@ -348,29 +424,28 @@
         runtime.after(RETRY_MILLIS, this::poll);
     }
 
+    /** Returns whether a failure says more than that one call was not answered. */
+    private static boolean isFinal(Throwable failure) {
+        return failure instanceof OrderException e
+                && (e.kind() == OrderException.Kind.FENCED
+                        || e.kind() == OrderException.Kind.OTHER_INCARNATION
+                        || e.isConnectionLost());
+    }
+
     private void updateUsable() {
         node.setSilent(failures > 0);
         node.setUsable(registered && fenced && failures == 0 && !closed);
     }
 
-    private void calibrate(long clock) {
-        calibrated = true;
-        clockMillis = clock;
-        clockReadNanos = runtime.clock().nanoTime();
-    }
+    /** A poll and its repetitions, of which the first answer with new ends counts. */
+    private static final class PollRound {
+        private final long sentNanos;
+        private Cancellable first = () -> {};
+        private boolean repetitionAnswered;
 
-    /**
-     * Returns the end of a lease that begins now, on the worker's clock as estimated from its last
-     * answer.
-     */
-    private long leaseEnd() {
-        long passed = (runtime.clock().nanoTime() - clockReadNanos) / NANOS_PER_MILLI;
-        long most = runtime.limits().maxRunLease().toMillis();
-        return clockMillis + passed + Math.min(RUN_LEASE_MILLIS, most);
-    }
-
-    private void extendTo(long untilMillis) {
-        leaseUntilMillis = Math.max(leaseUntilMillis, untilMillis);
+        PollRound(long sentNanos) {
+            this.sentNanos = sentNanos;
+        }
     }
 
     /** Notified of the answers of the worker. */
@@ -378,6 +453,11 @@
         /** Returns whether leases may be extended. */
         boolean mayExtendLeases();
 
+        /**
+         * Returns the time until the first run of the worker is expected to end; empty if none is.
+         */
+        Optional<Duration> nextEnd(WorkerSession session);
+
         /** Called when the worker has listed its runs and their ends. */
         void onReport(WorkerSession session, long requestedNanos, WorkerReport report);
 
--- a/daemon/src/main/java/org/crocusgrade/daemon/log/Event.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/log/Event.java
@@ -119,6 +119,8 @@
     CRASH_WITHDRAWN(335, Level.INFO),
     /** A task that may crash its worker was started on one where nothing else begins. */
     RUN_ISOLATED(336, Level.INFO),
+    /** The ends of runs were learned from a repeated poll, as the first one got no answer. */
+    POLL_REPEATED(337, Level.INFO),
     /** The state of a wave was written. */
     WAVE_STATUS(323, Level.INFO),
     /** A read or write of the platform's store failed. */
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimOrders.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimOrders.java
@@ -53,6 +53,7 @@
         return withTimeout(
                 send(
                         target,
+                        TIMEOUT_MILLIS,
                         (worker, e) -> {
                             StartOutcome outcome = worker.start(order, target.token());
                             OptionalLong clock = OptionalLong.of(worker.clock());
@@ -65,6 +66,7 @@
         return withTimeout(
                 send(
                         target,
+                        TIMEOUT_MILLIS,
                         (worker, e) -> {
                             boolean done = worker.stop(task, run, target.token());
                             long clock = worker.clock();
@@ -88,6 +90,7 @@
     public Uni<WorkerReport> poll(Target target, Poll order) {
         return send(
                 target,
+                order.maxWait().toMillis() + TIMEOUT_MILLIS,
                 (worker, e) -> {
                     if (!worker.poll(target.token(), order.ackCursor(), order.leaseUntilMillis())) {
                         answerLater(() -> e.fail(new OrderException(Kind.FENCED, "fenced")));
@@ -117,17 +120,20 @@
                 });
     }
 
-    private <T> Uni<T> send(Target target, OrderAction<T> action) {
+    private <T> Uni<T> send(Target target, long timeoutMillis, OrderAction<T> action) {
         return Uni.createFrom()
                 .emitter(
                         e -> {
                             if (loop.isEmpty()) {
-                                send(target, action, e);
+                                send(target, timeoutMillis, action, e);
                                 return;
                             }
                             SimLoop sender = loop.get();
                             sender.execute(
-                                    () -> sender.execute(() -> send(target, action, e), passNanos),
+                                    () ->
+                                            sender.execute(
+                                                    () -> send(target, timeoutMillis, action, e),
+                                                    passNanos),
                                     passNanos);
                         });
     }
@@ -147,12 +153,16 @@
                         });
     }
 
-    private <T> void send(Target target, OrderAction<T> action, UniEmitter<? super T> emitter) {
+    private <T> void send(
+            Target target,
+            long timeoutMillis,
+            OrderAction<T> action,
+            UniEmitter<? super T> emitter) {
         SimWorker worker = workers.get(target.worker());
         Consumer<Kind> fail =
                 kind ->
                         time.afterMillis(
-                                TIMEOUT_MILLIS,
+                                timeoutMillis,
                                 () -> emitter.fail(new OrderException(kind, "silent")));
         if (worker == null) {
             fail.accept(Kind.NOT_SENT);
--- /dev/null
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/UnansweredOrdersTest.java
@@ -0,0 +1,56 @@
+package org.crocusgrade.daemon.batch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+
+import org.junit.jupiter.api.Test;
+
+/**
+ * Replays a surge in which workers leave one call in twenty unanswered and carry it out seconds
+ * later. Guards against workers that stand idle with all their runs ended, because the poll that
+ * would show it has got no answer.
+ */
+class UnansweredOrdersTest {
+    private static final int SEEDS = 5;
+    private static final int WORKERS = 16;
+    private static final int SUBMISSIONS = 100;
+    private static final int TASKS = 16;
+    private static final long SURGE_MILLIS = 6000;
+    private static final double UNANSWERED = 0.055;
+
+    /** The part of the runs that the same surge has when all calls are answered. */
+    private static final double MIN_RUNS = 0.85;
+
+    @Test
+    void unansweredCallsHideNoWorker() {
+        double answered = 0;
+        double unanswered = 0;
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            answered += starts(seed, 0);
+            unanswered += starts(seed, UNANSWERED);
+        }
+        assertThat(unanswered / answered, greaterThan(MIN_RUNS));
+    }
+
+    /** Returns how many runs start in a surge that keeps all workers busy. */
+    private static int starts(int seed, double unansweredShare) {
+        SimFleet fleet = new SimFleet(seed, false, WORKERS);
+        for (int i = 0; i < SUBMISSIONS / 5; i++) {
+            fleet.submit(TASKS);
+        }
+        fleet.time.run(SURGE_MILLIS);
+        int before = fleet.checks.starts();
+        fleet.daemons.values().forEach(d -> d.orders.setLateShare(unansweredShare));
+        for (int i = 0; i < SUBMISSIONS; i++) {
+            fleet.submit(TASKS);
+        }
+        fleet.time.run(SURGE_MILLIS);
+        int starts = fleet.checks.starts() - before;
+        fleet.daemons.values().forEach(d -> d.orders.setLateShare(0));
+        fleet.time.run(SURGE_MILLIS);
+        assertThat(fleet.unfinished(), empty());
+        assertThat(fleet.checks.violations(), empty());
+        return starts;
+    }
+}
