Keep no host empty for an order of a lost holder that is over

Cause: every host that the former holder had ordered within the order spacing was evacuated until the spacing had passed since the take-over, and counted as moving, so that the new holder fetched others.

The record now says what was ordered, how long ago, and by whom. An order to move is over when the host is up in its new pool, one to maintain when the host was seen in maintenance and is up again; a failure of a host shows nothing. Until then a moved host counts as on its way. A host may be ordered again when the spacing has passed since its last order, whoever holds the duty, or 0.5 s after the take-over by the same daemon, which has restarted. Without such fields, in records of an older version, all is as before.

--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolBalancer.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolBalancer.java
@@ -310,7 +310,7 @@
             Map<ServiceId, Double> surplus) {
         List<HostView> donors = new ArrayList<>();
         for (HostView host : hosts) {
-            if (host.state() != State.UP) {
+            if (host.state() != State.UP || !host.orderable()) {
                 continue;
             }
             boolean dwelled = now - inPoolSince.getOrDefault(host.host(), now) >= DWELL_SECONDS;
@@ -350,6 +350,7 @@
             ServiceId pool = host.pool();
             boolean idle =
                     host.state() == State.UP
+                            && host.orderable()
                             && !host.standby()
                             && givers.contains(pool)
                             && !assignment.isTaken(host.host())
--- a/core/src/main/java/org/crocusgrade/core/maintenance/HostView.java
+++ b/core/src/main/java/org/crocusgrade/core/maintenance/HostView.java
@@ -13,8 +13,8 @@
  * @param host the host's id
  * @param pool the pool of the host
  * @param worker the host's current worker, if there is one
- * @param state the state that the platform reports; {@code MOVING} also for a host that is
- *     temporarily excluded from orders
+ * @param state the state that the platform reports; {@code MOVING} also for a host that may be
+ *     about to move
  * @param rack the host's rack, if it is known
  * @param milliCores processor capacity, in thousandths of a core
  * @param standby whether the pool is switched off, so that nothing runs on the host
@@ -23,6 +23,7 @@
  * @param evacuating whether the pool's owner reports that it starts nothing new on the worker
  * @param running number of runs on the worker
  * @param longRunning number of those runs that belong to long-running tasks
+ * @param orderable whether it may be moved or maintained now
  */
 public record HostView(
         HostId host,
@@ -35,7 +36,8 @@
         boolean recentlyReported,
         boolean evacuating,
         int running,
-        int longRunning) {
+        int longRunning,
+        boolean orderable) {
     /** Checks the fields. */
     public HostView {
         Objects.requireNonNull(host);
@@ -45,13 +47,41 @@
         Objects.requireNonNull(rack);
     }
 
+    /** Creates a view of a host that may be moved or maintained now. */
+    public HostView(
+            HostId host,
+            ServiceId pool,
+            Optional<WorkerId> worker,
+            State state,
+            Optional<String> rack,
+            long milliCores,
+            boolean standby,
+            boolean recentlyReported,
+            boolean evacuating,
+            int running,
+            int longRunning) {
+        this(
+                host,
+                pool,
+                worker,
+                state,
+                rack,
+                milliCores,
+                standby,
+                recentlyReported,
+                evacuating,
+                running,
+                longRunning,
+                true);
+    }
+
     /**
-     * Returns whether the host is up and nothing can be running on it, so that removing it from its
-     * pool ends no work: its pool is on standby, or the pool's owner reports that it evacuates the
-     * worker and that no run remains there.
+     * Returns whether the host is up, may be ordered about, and nothing can be running on it, so
+     * that removing it from its pool ends no work: its pool is on standby, or the pool's owner
+     * reports that it evacuates the worker and that no run remains there.
      */
     public boolean isEmpty() {
-        if (state != State.UP) {
+        if (state != State.UP || !orderable) {
             return false;
         }
         return standby || recentlyReported && evacuating && running == 0;
--- a/core/src/main/java/org/crocusgrade/core/maintenance/WaveSchedule.java
+++ b/core/src/main/java/org/crocusgrade/core/maintenance/WaveSchedule.java
@@ -74,7 +74,7 @@
             }
             if (!maintained) {
                 notStarted++;
-                if (view.state() == State.UP && !unconfirmed.contains(host)) {
+                if (view.state() == State.UP && view.orderable() && !unconfirmed.contains(host)) {
                     candidates.add(view);
                 }
             }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetController.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetController.java
@@ -24,6 +24,7 @@
 import org.crocusgrade.core.port.HostControl.PooledHost;
 import org.crocusgrade.core.port.HostControl.State;
 import org.crocusgrade.core.port.StoreEntry;
+import org.crocusgrade.daemon.batch.FleetDutyState.HostOrder;
 import org.crocusgrade.daemon.log.Event;
 import org.crocusgrade.peer.proto.CapGrantMessage;
 import org.crocusgrade.peer.proto.EvacuationMessage;
@@ -37,8 +38,9 @@
  * separated in time, for each host. A holder sends orders only after it has recorded them ({@link
  * FleetDutyRecord}), in a transaction that requires that the store still names it as the holder; a
  * new holder leaves the hosts that the record names alone until the platform's order spacing has
- * passed. An order for a host is sent only after the owner of its pool has reported that the host
- * is empty and will stay empty.
+ * passed. They take tasks again as soon as the order is over ({@link FormerOrders}). An order for a
+ * host is sent only after the owner of its pool has reported that the host is empty and will stay
+ * empty.
  */
 final class FleetController implements FleetAuthority {
     /** Minimum interval between reads of the host list, in milliseconds. */
@@ -70,11 +72,10 @@
     private final HostMover mover;
     private Map<HostId, PooledHost> hosts = Map.of();
     private Set<ServiceId> standbyPools = Set.of();
-    private final Map<HostId, Long> orderedNanos = new HashMap<>();
+    private final Map<HostId, SentOrder> ordered = new HashMap<>();
     private Optional<DutyOwnership> ownership = Optional.empty();
-    private Set<HostId> orderedByFormer = Set.of();
     private final FleetDutyRecord record;
-    private boolean formerOrdersOpen;
+    private final FormerOrders formerOrders;
     private boolean restored;
     private boolean stateChanged;
     private DutyManager duties;
@@ -94,6 +95,7 @@
         caps = new CapGrants(runtime.clock(), runtime.log(), grants);
         reports = new PoolReports(runtime.clock(), runtime.log());
         record = new FleetDutyRecord(runtime);
+        formerOrders = new FormerOrders(orderSpacing(), FORMER_ORDER_DELAY);
         waves = new WaveRunner(runtime, this);
         mover = new HostMover(runtime, this, new PoolBalancer(forecast));
     }
@@ -103,12 +105,12 @@
         duties = manager;
         acquiredNanos = runtime.clock().nanoTime();
         hosts = Map.of();
-        orderedNanos.clear();
+        ordered.clear();
         evacuations.reset(acquired.token());
         caps.start(acquired.token());
         waves.restore(manager.entries());
         mover.reset();
-        orderedByFormer = Set.of();
+        formerOrders.clear();
         restored = false;
         stateChanged = false;
         record.load(
@@ -121,8 +123,9 @@
 
     /** Restores the state that the former holder has stored. */
     private void restoreState(DutyOwnership acquired, FleetDutyState state) {
-        orderedByFormer = state.orderedHosts();
-        formerOrdersOpen = !(state.handedBack() && state.term() == acquired.term() - 1);
+        boolean mayBeOpen = !(state.handedBack() && state.term() == acquired.term() - 1);
+        formerOrders.restore(state, mayBeOpen, self, acquiredNanos);
+        mover.restore(formerOrders.moves());
         forecast.restore(state.surgesAt(runtime.clock().now()), seconds());
         runtime.log().log(
                 Event.FLEET_TAKEN_OVER,
@@ -131,9 +134,9 @@
                 "note-of-term",
                 state.term(),
                 "orders-open",
-                formerOrdersOpen,
+                mayBeOpen,
                 "ordered-lately",
-                orderedByFormer.size());
+                state.orderedHosts().size());
     }
 
     /** Returns the state for the next holder, when this one releases the duty. */
@@ -141,28 +144,48 @@
         boolean noOpenOrders = !waves.hasOpenOrders() && !mover.hasOpenOrders();
         return ownership
                 .filter(t -> restored)
-                .map(t -> dutyState(t, noOpenOrders, Set.of()).encode());
+                .map(t -> dutyState(t, noOpenOrders, List.of()).encode());
     }
 
     /**
      * Returns the state to store.
      *
-     * @param next the hosts that are about to be ordered
+     * @param next the orders that are about to be sent
      */
-    private FleetDutyState dutyState(DutyOwnership held, boolean handedBack, Set<HostId> next) {
+    private FleetDutyState dutyState(
+            DutyOwnership held, boolean handedBack, List<FleetAction> next) {
         long now = runtime.clock().nanoTime();
-        orderedNanos.values().removeIf(at -> now - at > orderSpacing().toNanos());
-        Set<HostId> ordered = new HashSet<>(next);
-        ordered.addAll(orderedNanos.keySet());
-        ordered.addAll(recentlyOrderedByFormer());
+        ordered.values().removeIf(o -> now - o.nanos > orderSpacing().toNanos());
+        Set<HostId> hosts = new HashSet<>();
+        Map<HostId, HostOrder> orders = new HashMap<>();
+        formerOrders
+                .recorded(now)
+                .forEach(
+                        (host, order) -> {
+                            hosts.add(host);
+                            order.ifPresent(o -> orders.put(host, o));
+                        });
+        ordered.forEach(
+                (host, order) -> orders.put(host, new HostOrder(order.to, age(host, order, now))));
+        next.forEach(
+                o -> o.host().ifPresent(h -> orders.put(h, new HostOrder(o.to(), Duration.ZERO))));
+        hosts.addAll(orders.keySet());
         return new FleetDutyState(
                 held.term(),
                 handedBack,
-                ordered,
+                hosts,
+                orders,
+                Optional.of(self),
                 runtime.clock().now(),
                 forecast.snapshot(seconds()));
     }
 
+    /** Returns the age of an order; zero if it has no answer, as it may still be on its way. */
+    private Duration age(HostId host, SentOrder order, long now) {
+        boolean isOpen = waves.isOrderOpen(host) || mover.isOrderOpen(host);
+        return isOpen ? Duration.ZERO : Duration.ofNanos(now - order.nanos);
+    }
+
     void stop() {
         ownership = Optional.empty();
         caps.stop();
@@ -205,6 +228,7 @@
         if (hosts.isEmpty() || !restored) {
             return;
         }
+        mover.drop(formerOrders.removeExpired(runtime.clock().nanoTime()));
         Map<HostId, HostView> views = views();
         Map<ServiceId, Long> pressure = new HashMap<>();
         for (PoolStatusMessage report : reports.all()) {
@@ -212,7 +236,7 @@
         }
         Set<HostId> evacuate = new HashSet<>();
         List<FleetAction> orders = new ArrayList<>();
-        Set<HostId> open = formerOrdersOpen ? recentlyOrderedByFormer() : Set.of();
+        Set<HostId> open = formerOrders.open();
         waves.decide(views, hostsReadNanos, open, pressure, evacuate, orders);
         mover.decide(now, views, needs(), standbyPools, evacuate, orders);
         evacuate.addAll(open);
@@ -299,6 +323,9 @@
                             found.forEach(h -> byName.put(h.host(), h));
                             hosts = byName;
                             hostsReadNanos = now;
+                            if (now - acquiredNanos >= 0) {
+                                formerOrders.onHosts(found);
+                            }
                         },
                         f -> {
                             refreshing = false;
@@ -341,18 +368,20 @@
                                     && evacuations.isReflectedBy(
                                             sources.get(host.worker().get()), host.host()),
                             worker.map(WorkerStatusMessage::getRunning).orElse(0),
-                            worker.map(WorkerStatusMessage::getLongRunning).orElse(0)));
+                            worker.map(WorkerStatusMessage::getLongRunning).orElse(0),
+                            mayOrder(host.host())));
         }
         return views;
     }
 
-    /**
-     * Returns the state of a host. One that the former holder has ordered recently counts as moving
-     * until the order spacing has passed, so that it gets no new order.
-     */
+    /** Returns the state of a host; one that the former holder may be moving counts as moving. */
     private State state(PooledHost host) {
-        boolean recentlyOrdered = recentlyOrderedByFormer().contains(host.host());
-        return recentlyOrdered && host.state() == State.UP ? State.MOVING : host.state();
+        boolean mayMove = formerOrders.isOpen(host.host()) && !mayOrder(host.host());
+        return mayMove && host.state() == State.UP ? State.MOVING : host.state();
+    }
+
+    private boolean mayOrder(HostId host) {
+        return formerOrders.mayOrder(host, runtime.clock().nanoTime());
     }
 
     // Orders.
@@ -367,12 +396,10 @@
         }
         DutyOwnership held = ownership.orElseThrow();
         ClockReading requested = ClockReading.of(runtime.clock());
-        Set<HostId> next = new HashSet<>();
-        orders.forEach(o -> o.host().ifPresent(next::add));
         stateChanged = false;
         record.write(
                 held,
-                dutyState(held, false, next),
+                dutyState(held, false, orders),
                 () -> {
                     if (ownership.equals(Optional.of(held))) {
                         executeConfirmed(orders, requested);
@@ -403,18 +430,6 @@
         }
     }
 
-    /**
-     * Returns the hosts to which this holder's next order would follow that of a former holder too
-     * soon; if {@code formerOrdersOpen}, the former one's may even be on its way.
-     */
-    private Set<HostId> recentlyOrderedByFormer() {
-        return isOrderSpacingOver() ? Set.of() : orderedByFormer;
-    }
-
-    private boolean isOrderSpacingOver() {
-        return runtime.clock().nanoTime() - acquiredNanos > orderSpacing().toNanos();
-    }
-
     /** Returns the time that must lie between the orders of two holders for one host. */
     private Duration orderSpacing() {
         return runtime.limits().orderSpacing().plus(FORMER_ORDER_DELAY);
@@ -431,8 +446,8 @@
     }
 
     @Override
-    public Credentials authorizeOrder(HostId host) {
-        orderedNanos.put(host, runtime.clock().nanoTime());
+    public Credentials authorizeOrder(HostId host, Optional<ServiceId> to) {
+        ordered.put(host, new SentOrder(to, runtime.clock().nanoTime()));
         return new Credentials(self.value(), ownership.orElseThrow().token());
     }
 
@@ -453,4 +468,7 @@
             duties.relinquish(lost.duty(), "store shows another holder");
         }
     }
+
+    /** An order that was sent: to move a host to a pool, or to maintain it. */
+    private record SentOrder(Optional<ServiceId> to, long nanos) {}
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetDutyState.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetDutyState.java
@@ -4,15 +4,20 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import org.crocusgrade.core.fleet.plan.SurgeSequenceSnapshot;
+import org.crocusgrade.core.id.DaemonId;
 import org.crocusgrade.core.id.HostId;
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.core.port.FormatException;
 import org.crocusgrade.peer.proto.StoredFleet;
+import org.crocusgrade.peer.proto.StoredHostOrder;
 import org.crocusgrade.peer.proto.StoredSurge;
 
 /**
@@ -21,6 +26,8 @@
  * @param term the term of the holder that wrote it
  * @param handedBack whether that holder released the duty with no order open
  * @param orderedHosts hosts that it had ordered shortly before, or was about to order
+ * @param orders what was ordered for them; hosts of a record of an older version are missing
+ * @param writer the holder that wrote it; empty in a record of an older version
  * @param written when it was written, by the clock of the writer
  * @param surges what the writer had observed of the surges of the pools
  */
@@ -28,11 +35,15 @@
         long term,
         boolean handedBack,
         Set<HostId> orderedHosts,
+        Map<HostId, HostOrder> orders,
+        Optional<DaemonId> writer,
         Instant written,
         SurgeSequenceSnapshot surges) {
-    /** Copies the set of hosts. */
+    /** Copies the collections. */
     FleetDutyState {
         orderedHosts = Set.copyOf(orderedHosts);
+        orders = Map.copyOf(orders);
+        Objects.requireNonNull(writer);
     }
 
     byte[] encode() {
@@ -40,10 +51,18 @@
                 StoredFleet.newBuilder()
                         .setTerm(term)
                         .setHandedBack(handedBack)
+                        .setWriter(writer.map(DaemonId::value).orElse(""))
                         .setWrittenEpochMs(written.toEpochMilli())
                         .addAllLagSeconds(surges.lags())
                         .setLatestPool(surges.latest().map(ServiceId::value).orElse(""));
         orderedHosts.forEach(h -> stored.addOrderedHosts(h.value()));
+        orders.forEach(
+                (host, order) ->
+                        stored.addOrders(
+                                StoredHostOrder.newBuilder()
+                                        .setHost(host.value())
+                                        .setPool(order.to.map(ServiceId::value).orElse(""))
+                                        .setAgeMs(order.age.toMillis())));
         for (SurgeSequenceSnapshot.PoolSnapshot pool : surges.pools()) {
             stored.addSurges(
                     StoredSurge.newBuilder()
@@ -63,6 +82,13 @@
             StoredFleet stored = StoredFleet.parseFrom(bytes);
             Set<HostId> hosts = new HashSet<>();
             stored.getOrderedHostsList().forEach(h -> hosts.add(new HostId(h)));
+            Map<HostId, HostOrder> orders = new HashMap<>();
+            for (StoredHostOrder order : stored.getOrdersList()) {
+                Duration age = Duration.ofMillis(order.getAgeMs());
+                orders.put(
+                        new HostId(order.getHost()), new HostOrder(service(order.getPool()), age));
+            }
+            String writer = stored.getWriter();
             List<SurgeSequenceSnapshot.PoolSnapshot> pools = new ArrayList<>();
             for (StoredSurge surge : stored.getSurgesList()) {
                 pools.add(
@@ -79,6 +105,8 @@
                     stored.getTerm(),
                     stored.getHandedBack(),
                     hosts,
+                    orders,
+                    writer.isEmpty() ? Optional.empty() : Optional.of(new DaemonId(writer)),
                     Instant.ofEpochMilli(stored.getWrittenEpochMs()),
                     new SurgeSequenceSnapshot(
                             stored.getLagSecondsList(), service(stored.getLatestPool()), pools));
@@ -99,4 +127,18 @@
     private static Optional<ServiceId> service(String name) {
         return name.isEmpty() ? Optional.empty() : Optional.of(new ServiceId(name));
     }
+
+    /**
+     * An order for a host.
+     *
+     * @param to the pool to which it is moved; empty if it is maintained
+     * @param age the time since the order was sent, zero if it is about to be sent
+     */
+    record HostOrder(Optional<ServiceId> to, Duration age) {
+        /** Rejects null fields; negative ages become zero, so that nothing is ordered too soon. */
+        HostOrder {
+            Objects.requireNonNull(to);
+            age = age.isNegative() ? Duration.ZERO : age;
+        }
+    }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FormerOrders.java
@@ -0,0 +1,167 @@
+package org.crocusgrade.daemon.batch;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.crocusgrade.core.id.DaemonId;
+import org.crocusgrade.core.id.HostId;
+import org.crocusgrade.core.id.ServiceId;
+import org.crocusgrade.core.port.HostControl.PooledHost;
+import org.crocusgrade.core.port.HostControl.State;
+import org.crocusgrade.daemon.batch.FleetDutyState.HostOrder;
+
+/**
+ * The latest orders of the former holder of the fleet duty: which may still be carried out, and
+ * which hosts may not be ordered yet.
+ *
+ * <p>Load: a holder that has just moved half of the fleet into a pool that surges is lost, or the
+ * daemons restart in turn and hand the duty on every second. While an order for a host may be on
+ * its way, the host must stay empty, but those that have arrived are needed at once.
+ *
+ * <p>An order is over when the host list shows what it was to bring about: a host that was to move
+ * is up in its new pool, and one that was to be maintained was seen in maintenance and is up again.
+ * A later order for the same host would be the one in the record. Without such evidence, or if it
+ * is not known what was ordered, an order may be carried out until the order spacing has passed
+ * since it was sent. Until then no other daemon may order the host, whether the order is over or
+ * not. A daemon that takes over from its own former process only waits until what that has sent has
+ * arrived.
+ */
+final class FormerOrders {
+    private final Duration spacing;
+    private final Map<HostId, Entry> entries = new HashMap<>();
+    private final Duration transit;
+
+    /**
+     * Creates an object without orders.
+     *
+     * @param spacing the time that must lie between the orders of two holders for one host
+     * @param transit how long an order may be on its way
+     */
+    FormerOrders(Duration spacing, Duration transit) {
+        this.spacing = spacing;
+        this.transit = transit;
+    }
+
+    /**
+     * Replaces the orders by those of a record.
+     *
+     * @param mayBeOpen whether any of them may still be carried out
+     * @param self the daemon that has taken over
+     * @param acquiredNanos when it has, on its monotonic clock
+     */
+    void restore(FleetDutyState state, boolean mayBeOpen, DaemonId self, long acquiredNanos) {
+        clear();
+        boolean ownOrders = state.writer().equals(Optional.of(self));
+        for (HostId host : state.orderedHosts()) {
+            Optional<HostOrder> order = Optional.ofNullable(state.orders().get(host));
+            Duration age = order.map(HostOrder::age).orElse(Duration.ZERO);
+            long until = acquiredNanos + spacing.minus(age).toNanos();
+            long from = ownOrders ? acquiredNanos + transit.toNanos() : until;
+            entries.put(host, new Entry(order, until, Math.min(from, until), mayBeOpen));
+        }
+    }
+
+    void clear() {
+        entries.clear();
+    }
+
+    /** Updates the orders from a host list that was requested after the takeover. */
+    void onHosts(Collection<PooledHost> hosts) {
+        for (PooledHost host : hosts) {
+            Entry entry = entries.get(host.host());
+            if (entry != null && entry.open && entry.order.isPresent()) {
+                entry.observe(host, entry.order.get().to());
+            }
+        }
+    }
+
+    /**
+     * Removes the orders whose spacing has passed; returns the hosts of those that were not seen to
+     * be over.
+     */
+    Set<HostId> removeExpired(long now) {
+        Set<HostId> open = new HashSet<>();
+        entries.entrySet()
+                .removeIf(
+                        e -> {
+                            boolean expired = now - e.getValue().untilNanos > 0;
+                            if (expired && e.getValue().open) {
+                                open.add(e.getKey());
+                            }
+                            return expired;
+                        });
+        return open;
+    }
+
+    /** Returns the hosts for which an order may still be carried out. */
+    Set<HostId> open() {
+        Set<HostId> hosts = new HashSet<>();
+        entries.forEach(
+                (host, entry) -> {
+                    if (entry.open) {
+                        hosts.add(host);
+                    }
+                });
+        return hosts;
+    }
+
+    /** Returns whether a host may be ordered, as far as orders of the former holder matter. */
+    boolean mayOrder(HostId host, long now) {
+        Entry entry = entries.get(host);
+        return entry == null || now - entry.orderableNanos > 0;
+    }
+
+    /** Returns whether an order may still move a host or begin its maintenance. */
+    boolean isOpen(HostId host) {
+        Entry entry = entries.get(host);
+        return entry != null && entry.open;
+    }
+
+    /** Returns the hosts that may be on their way to a pool, and that pool. */
+    Map<HostId, ServiceId> moves() {
+        Map<HostId, ServiceId> moves = new HashMap<>();
+        entries.forEach(
+                (host, entry) -> {
+                    if (entry.open) {
+                        entry.order.flatMap(HostOrder::to).ifPresent(pool -> moves.put(host, pool));
+                    }
+                });
+        return moves;
+    }
+
+    /** Returns the orders for the next record; hosts whose order is not known have no value. */
+    Map<HostId, Optional<HostOrder>> recorded(long now) {
+        Map<HostId, Optional<HostOrder>> recorded = new HashMap<>();
+        entries.forEach(
+                (host, entry) -> {
+                    Duration age = spacing.minusNanos(entry.untilNanos - now);
+                    recorded.put(host, entry.order.map(o -> new HostOrder(o.to(), age)));
+                });
+        return recorded;
+    }
+
+    private static final class Entry {
+        private final Optional<HostOrder> order;
+        private final long untilNanos;
+        private final long orderableNanos;
+        private boolean open;
+        private boolean begun;
+
+        Entry(Optional<HostOrder> order, long untilNanos, long orderableNanos, boolean open) {
+            this.order = order;
+            this.untilNanos = untilNanos;
+            this.orderableNanos = orderableNanos;
+            this.open = open;
+        }
+
+        void observe(PooledHost host, Optional<ServiceId> to) {
+            begun |= host.state() == State.MAINTENANCE;
+            boolean carriedOut = to.map(host.pool()::equals).orElse(begun);
+            open = !(carriedOut && host.state() == State.UP);
+        }
+    }
+}
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/HostMover.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/HostMover.java
@@ -60,6 +60,17 @@
         unanswered.clear();
     }
 
+    /** Counts the hosts that a former holder may have moved as on their way. */
+    void restore(Map<HostId, ServiceId> moves) {
+        long now = runtime.clock().nanoTime();
+        moves.forEach((host, to) -> arriving.putIfAbsent(host, new Transfer(to, now)));
+    }
+
+    /** Forgets the moves of a former holder that were not carried out in time. */
+    void drop(Set<HostId> moves) {
+        arriving.keySet().removeAll(moves);
+    }
+
     boolean hasOpenOrders() {
         return !ordering.isEmpty();
     }
@@ -102,7 +113,7 @@
             }
             if (view.isEmpty() && !ordering.contains(entry.getKey())) {
                 ServiceId to = entry.getValue().to;
-                orders.add(FleetAction.onEmptyHost(view.host(), () -> move(view, to)));
+                orders.add(FleetAction.move(view.host(), to, () -> move(view, to)));
             }
         }
     }
@@ -150,7 +161,7 @@
                             long waited = now - e.getValue().sinceNanos;
                             PoolNeed need = needs.get(view.pool());
                             boolean isLacking = need != null && need.lackingHosts() > 0;
-                            return !mayBeOrdered(e.getKey())
+                            return !isOrderOpen(e.getKey())
                                     && (isLacking
                                             || evacuate.contains(e.getKey())
                                             || waited > EVACUATION_TIMEOUT.toNanos());
@@ -170,7 +181,7 @@
     }
 
     /** Returns whether an order for a host may still be carried out. */
-    private boolean mayBeOrdered(HostId host) {
+    boolean isOrderOpen(HostId host) {
         return ordering.contains(host) || unanswered.containsKey(host);
     }
 
@@ -179,7 +190,7 @@
             return;
         }
         runtime.hosts()
-                .move(host.host(), to, authority.authorizeOrder(host.host()))
+                .move(host.host(), to, authority.authorizeOrder(host.host(), Optional.of(to)))
                 .emitOn(runtime.loop())
                 .subscribe()
                 .with(
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WaveRunner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WaveRunner.java
@@ -51,6 +51,11 @@
         return !ordering.isEmpty();
     }
 
+    /** Returns whether an order for a host has no answer yet. */
+    boolean isOrderOpen(HostId host) {
+        return ordering.contains(host);
+    }
+
     void onOperatorEntries(Map<String, StoreEntry> entries, Map<String, StoreEntry> coordination) {
         for (StoreEntry entry : entries.values()) {
             if (runtime.format().isWave(entry.key())) {
@@ -120,8 +125,7 @@
         for (HostId host : decision.maintain()) {
             if (!ordering.contains(host)) {
                 boolean interrupts = !views.get(host).isEmpty();
-                orders.add(
-                        new FleetAction(Optional.of(host), interrupts, () -> maintain(wave, host)));
+                orders.add(FleetAction.maintain(host, interrupts, () -> maintain(wave, host)));
             }
         }
     }
@@ -132,7 +136,7 @@
         }
         int number = wave.request.wave();
         runtime.hosts()
-                .maintain(host, number, authority.authorizeOrder(host))
+                .maintain(host, number, authority.authorizeOrder(host, Optional.empty()))
                 .emitOn(runtime.loop())
                 .subscribe()
                 .with(
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
@@ -179,6 +179,13 @@
         return daemons.values().iterator().next();
     }
 
+    /** Returns whether a daemon that runs holds a duty. */
+    boolean hasTakenOver(Duty duty) {
+        return daemons.values().stream()
+                .filter(d -> !d.killed)
+                .anyMatch(d -> d.node.holder(duty).equals(Optional.of(d.name)));
+    }
+
     SubmissionId nextId() {
         return new SubmissionId(String.format("%016x", ++submissions));
     }
