Begin maintenance outside of pools that surge while time allows

Hosts of a pool that surges or in which tasks wait, and standby hosts while there is one, wait as long as the wave ends in time with as many hosts at once as it allows later. Hosts of other pools, mostly held by long-running tasks, go meanwhile.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetController.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetController.java
@@ -230,14 +230,17 @@
         }
         mover.drop(formerOrders.removeExpired(runtime.clock().nanoTime()));
         Map<HostId, HostView> views = views();
-        Map<ServiceId, Long> pressure = new HashMap<>();
+        Set<ServiceId> loaded = new HashSet<>();
         for (PoolStatusMessage report : reports.all()) {
-            pressure.put(new ServiceId(report.getService()), report.getWaitingMilliCores());
+            ServiceId pool = new ServiceId(report.getService());
+            if (report.getWaitingMilliCores() > 0 || forecast.isSurging(pool)) {
+                loaded.add(pool);
+            }
         }
         Set<HostId> evacuate = new HashSet<>();
         List<FleetAction> orders = new ArrayList<>();
         Set<HostId> open = formerOrders.open();
-        waves.decide(views, hostsReadNanos, open, pressure, evacuate, orders);
+        waves.decide(views, hostsReadNanos, open, loaded, evacuate, orders);
         mover.decide(now, views, needs(), standbyPools, evacuate, orders);
         evacuate.addAll(open);
         evacuations.send(evacuate, hosts);
