See the surge of a pool with many submissions sooner

Five submissions in a sample do not come by chance between surges, so a fifth of the range is enough then, and half of the minimum range in a pool's first surge.

--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/SurgeHistory.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/SurgeHistory.java
@@ -18,6 +18,18 @@
     /** Fraction of the range above which a surge starts. */
     private static final double START_THRESHOLD = 0.5;
 
+    /**
+     * Fraction of the range above which a surge starts if the sample covers at least {@code
+     * MANY_SUBMISSIONS}: between surges so many do not come by chance, and a sample that covers
+     * quiet time too shows only a part of the rise.
+     */
+    private static final double EARLY_START_THRESHOLD = 0.2;
+
+    private static final double MANY_SUBMISSIONS = 5;
+
+    /** Minimum range with so many submissions, as a fraction of the usual one. */
+    private static final double EARLY_RANGE_FACTOR = 0.5;
+
     /** Fraction of the range at or below which a surge ends. */
     private static final double END_THRESHOLD = 0.4;
 
@@ -157,7 +169,7 @@
         double likely = known + (level - known) * weight(submissions, SAMPLE_PRIOR_SUBMISSIONS);
         high = Math.max(likely, high + (likely - high) * decay);
         boolean started = false;
-        if (!surging && isAboveThreshold(level, START_THRESHOLD)) {
+        if (!surging && isAboveThreshold(level, startThreshold(submissions))) {
             started = beginSurge(at, time, level);
         } else if (surging) {
             continueSurge(at, time, level);
@@ -170,6 +182,14 @@
         return started;
     }
 
+    private static double startThreshold(double submissions) {
+        return isMany(submissions) ? EARLY_START_THRESHOLD : START_THRESHOLD;
+    }
+
+    private static boolean isMany(double submissions) {
+        return !Double.isInfinite(submissions) && submissions >= MANY_SUBMISSIONS;
+    }
+
     private void continueSurge(double at, double time, double level) {
         if (!Double.isInfinite(lastSubmissions)) {
             submissionSum += lastSubmissions;
@@ -224,9 +244,8 @@
 
     private boolean isAboveThreshold(double level, double threshold) {
         double range = Math.max(level, high) - low;
-        return range >= minRange
-                && range >= low * MIN_RANGE_FACTOR
-                && level > low + range * threshold;
+        double least = isMany(lastSubmissions) ? minRange * EARLY_RANGE_FACTOR : minRange;
+        return range >= least && range >= low * MIN_RANGE_FACTOR && level > low + range * threshold;
     }
 
     /** Begins a surge; returns false if it is the one that seemed to have ended. */
--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/SurgeSequenceForecast.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/SurgeSequenceForecast.java
@@ -62,7 +62,7 @@
      * large submissions that arrive together by chance exceed {@code MIN_RANGE_CORES} in a large
      * pool.
      */
-    private static final double MIN_PRESUMED_FRACTION = 0.15;
+    private static final double MIN_PRESUMED_FRACTION = 0.08;
 
     private final Map<ServiceId, SurgeHistory> pools = new HashMap<>();
     private final Map<ServiceId, ServiceId> followers = new HashMap<>();
