Let a surge go on while the owner of its pool is replaced

The next owner has seen arrivals only since its take-over, so its first samples show none, which is taken for the end of the surge.

Reports say how much time their samples cover. One that covers less than the window and is lower than the last says nothing.

Test: surgeGoesOnWhileTheOwnerOfItsPoolIsReplaced.

--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/SurgeSequenceForecast.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/SurgeSequenceForecast.java
@@ -121,6 +121,23 @@
         return true;
     }
 
+    /**
+     * Adds a sample that covers only a part of the time of others, because who measures the work
+     * has begun just before. It shows too little, so it says nothing if it is lower than the last
+     * one: a surge that goes on while the owner of its pool is replaced must not seem to end.
+     *
+     * @param covered the part that the sample covers, from 0 to 1
+     */
+    public boolean observe(
+            ServiceId pool, double at, double cores, int submissions, double covered) {
+        SurgeHistory history = pools.get(pool);
+        boolean isPartial = covered < 1 && history != null && history.hasRange();
+        if (isPartial && cores < history.last()) {
+            return false;
+        }
+        return observe(pool, at, cores, submissions);
+    }
+
     /** Returns a snapshot from which another forecast can be restored. */
     public SurgeSequenceSnapshot snapshot(double now) {
         List<SurgeSequenceSnapshot.PoolSnapshot> poolSnapshots = new ArrayList<>();
--- a/core/src/main/java/org/crocusgrade/core/schedule/ArrivalMeter.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/ArrivalMeter.java
@@ -1,5 +1,7 @@
 package org.crocusgrade.core.schedule;
 
+import java.time.Duration;
+
 /** Measures the work and the number of submissions that arrive, over a sliding window of 1.2 s. */
 public final class ArrivalMeter {
     /**
@@ -9,6 +11,10 @@
     private static final long BUCKET_NANOS = 100_000_000L;
 
     private static final int BUCKETS = 12;
+
+    /** The time that a measurement covers. */
+    public static final Duration WINDOW = Duration.ofNanos(BUCKETS * BUCKET_NANOS);
+
     private static final double BUCKET_MILLIS = 100;
 
     private final double[] work = new double[BUCKETS];
--- a/core/src/test/java/org/crocusgrade/core/fleet/plan/SurgeSequenceForecastTest.java
+++ b/core/src/test/java/org/crocusgrade/core/fleet/plan/SurgeSequenceForecastTest.java
@@ -91,6 +91,23 @@
         }
     }
 
+    /** A pool lost its new hosts because the next owner's first samples showed no arrivals. */
+    @Test
+    void surgeGoesOnWhileTheOwnerOfItsPoolIsReplaced() {
+        double now = TURN * 4 + 1;
+        observeUntil(now);
+        for (double age = 0.1; age < 1.2; age += 0.1) {
+            double seen = 400 * age / 1.2;
+            forecast.observe(POOLS.get(0), now + age, seen, (int) (seen / 10), age / 1.2);
+            assertThat("after " + age, forecast.isSurging(POOLS.get(0)), is(true));
+        }
+        assertThat(forecast.peak(POOLS.get(0)), closeTo(400, 1));
+        for (double at = now + 1.3; at < now + 3.5; at += 0.1) {
+            forecast.observe(POOLS.get(0), at, 5, 0, 1);
+        }
+        assertThat(forecast.isSurging(POOLS.get(0)), is(false));
+    }
+
     private void observeUntil(double until) {
         for (double at = -3; at < until; at += 0.1) {
             for (int i = 0; i < POOLS.size(); i++) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetController.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetController.java
@@ -24,6 +24,7 @@
 import org.crocusgrade.core.port.HostControl.PooledHost;
 import org.crocusgrade.core.port.HostControl.State;
 import org.crocusgrade.core.port.StoreEntry;
+import org.crocusgrade.core.schedule.ArrivalMeter;
 import org.crocusgrade.daemon.batch.FleetDutyState.HostOrder;
 import org.crocusgrade.daemon.log.Event;
 import org.crocusgrade.peer.proto.CapGrantMessage;
@@ -252,7 +253,7 @@
         ServiceId pool = new ServiceId(report.getService());
         double offered = report.getOfferedMilliCores() / MILLI;
         int submissions = report.getOfferedSubmissions();
-        if (!forecast.observe(pool, now, offered, submissions)) {
+        if (!forecast.observe(pool, now, offered, submissions, covered(report))) {
             return false;
         }
         Optional<SurgeSequenceForecast.Next> next = forecast.next(now);
@@ -271,6 +272,12 @@
         return true;
     }
 
+    /** Returns the part of the window that the offered work of a report covers. */
+    private static double covered(PoolStatusMessage report) {
+        int millis = report.getOfferedCoversMs();
+        return millis == 0 ? 1 : millis / (double) ArrivalMeter.WINDOW.toMillis();
+    }
+
     private Map<ServiceId, PoolNeed> needs() {
         Map<ServiceId, PoolNeed> needs = new HashMap<>();
         double coresPerMb = coresPerMb();
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -15,6 +15,7 @@
 import org.crocusgrade.core.port.WorkerEntry;
 import org.crocusgrade.core.port.WorkerOrders.WorkerReport;
 import org.crocusgrade.core.schedule.AdviceRequest;
+import org.crocusgrade.core.schedule.ArrivalMeter;
 import org.crocusgrade.core.schedule.HostShortage;
 import org.crocusgrade.core.schedule.Order;
 import org.crocusgrade.core.schedule.Placement;
@@ -62,6 +63,8 @@
      */
     private static final Duration FORMER_STOP_DELAY = Duration.ofMillis(1500);
 
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     private final BatchRuntime runtime;
     private final ServiceId service;
     private final DutyOwnership ownership;
@@ -181,7 +184,8 @@
                         .setLackingHosts(shortage.hosts())
                         .setBacklogCoreMillis(Math.round(demand.backlogCoreMillis()))
                         .setOfferedMilliCores(scheduler.offeredMilliCores(now))
-                        .setOfferedSubmissions(scheduler.offeredSubmissions(now));
+                        .setOfferedSubmissions(scheduler.offeredSubmissions(now))
+                        .setOfferedCoversMs(offeredCoversMillis(now));
         for (WorkerSession session : poolWorkers.sessions()) {
             if (session.isFenced()) {
                 status.addWorkers(session.status());
@@ -191,6 +195,12 @@
         return status.build();
     }
 
+    /** Returns the time that the measured arrivals cover: this owner sees those of its own time. */
+    private int offeredCoversMillis(long now) {
+        long window = ArrivalMeter.WINDOW.toMillis();
+        return (int) Math.min(window, Math.max(1, (now - tookOverNanos) / NANOS_PER_MILLI));
+    }
+
     private void setShortage(HostShortage current) {
         if (current.hosts() != shortage.hosts()) {
             runtime.log().log(
