Revert: begin maintenance outside of pools that surge while time allows

A wave of 121 hosts, 45 at once, due at 28.7 s, waits for the ends of surges and then takes 45 hosts at a time in the next one.

Hosts of a surging pool go into maintenance as before: a plan that spreads the absences over the time that remains, and prefers hosts that no surge needs, is left.

--- a/core/src/main/java/org/crocusgrade/core/maintenance/WaveSchedule.java
+++ b/core/src/main/java/org/crocusgrade/core/maintenance/WaveSchedule.java
@@ -23,11 +23,6 @@
  * pool has so many of them in the wave that they take all of the time that remains one after the
  * other, they are evacuated before idle hosts are maintained.
  *
- * <p>Hosts of a pool that surges or in which tasks wait, and hosts on standby while there is such a
- * pool, are left alone as long as the wave can end in time without them, unless long-running tasks
- * must leave them one after the other. Meanwhile the hosts of the other pools go, which mostly run
- * long-running tasks and so are of no use to the surge.
- *
  * <p>Example: 12 hosts and 20 s remain. With a reserve of 4 s and 5.5 s per host, 12 x 5.5 / 16 =
  * 4.1, so 5 hosts must be in maintenance at a time; one more may be, within the limit of the wave.
  *
@@ -44,9 +39,6 @@
     /** Remaining time below which hosts go into maintenance without being evacuated. */
     private static final Duration FORCE_THRESHOLD = Duration.ofMillis(3000);
 
-    /** Time that is left when hosts cannot be postponed any more, for what takes longer. */
-    private static final Duration POSTPONE_MARGIN = Duration.ofSeconds(2);
-
     private WaveSchedule() {}
 
     /**
@@ -58,7 +50,8 @@
      * @param started the hosts of the wave whose maintenance has started
      * @param unconfirmed hosts whose maintenance was ordered after the list of hosts was requested,
      *     or whose order has not been answered; the list may not show their maintenance yet
-     * @param loaded the pools that surge, or in which tasks wait for capacity
+     * @param waitingMilliCores processor capacity that waiting tasks need, by pool, in thousandths
+     *     of a core
      */
     public static Decision decide(
             WaveRequest wave,
@@ -66,7 +59,7 @@
             Map<HostId, HostView> hosts,
             Set<HostId> started,
             Set<HostId> unconfirmed,
-            Set<ServiceId> loaded) {
+            Map<ServiceId, Long> waitingMilliCores) {
         int inMaintenance = 0;
         List<HostView> candidates = new ArrayList<>();
         int notStarted = 0;
@@ -89,11 +82,7 @@
         if (notStarted == 0) {
             return new Decision(Set.of(), List.of(), true);
         }
-        candidates.sort(order(loaded));
-        Set<HostId> evacuate = urgentEvacuations(candidates, remaining);
-        if (isTimeToPostpone(wave, notStarted, remaining)) {
-            candidates.removeIf(h -> mayWait(h, loaded) && !evacuate.contains(h.host()));
-        }
+        candidates.sort(order(waitingMilliCores));
         int atOnce = Math.min(wave.atOnce(), requiredAtOnce(notStarted, remaining));
         List<HostId> maintain = new ArrayList<>();
         for (HostView host : candidates) {
@@ -103,27 +92,11 @@
                 maintain.add(host.host());
             }
         }
+        Set<HostId> evacuate = urgentEvacuations(candidates, remaining);
         evacuate.addAll(evacuations(candidates, maintain, atOnce + 1));
         return new Decision(evacuate, maintain, false);
     }
 
-    /**
-     * Returns whether the wave ends in time although hosts that are needed now wait, if as many as
-     * allowed are in maintenance at a time later.
-     */
-    private static boolean isTimeToPostpone(WaveRequest wave, int notStarted, Duration remaining) {
-        int rounds = (notStarted + wave.atOnce() - 1) / wave.atOnce();
-        return usableMillis(remaining) > rounds * PER_HOST.toMillis() + POSTPONE_MARGIN.toMillis();
-    }
-
-    /** Returns whether a host is needed by a pool with load; one that was evacuated is not. */
-    private static boolean mayWait(HostView host, Set<ServiceId> loaded) {
-        if (host.standby()) {
-            return !loaded.isEmpty();
-        }
-        return loaded.contains(host.pool()) && !host.isEmpty();
-    }
-
     /** Returns how many hosts must be in maintenance at a time for the wave to end in time. */
     private static int requiredAtOnce(int notStarted, Duration remaining) {
         long usable = usableMillis(remaining);
@@ -153,10 +126,10 @@
         return new LinkedHashSet<>(first.values());
     }
 
-    private static Comparator<HostView> order(Set<ServiceId> loaded) {
+    private static Comparator<HostView> order(Map<ServiceId, Long> waitingMilliCores) {
         return Comparator.comparing((HostView h) -> !h.isEmpty())
                 .thenComparing(h -> !h.evacuating())
-                .thenComparing(h -> loaded.contains(h.pool()))
+                .thenComparing(h -> waitingMilliCores.getOrDefault(h.pool(), 0L) > 0)
                 .thenComparing(HostView::longRunning)
                 .thenComparing(HostView::running)
                 .thenComparing(HostView::host);
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetController.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetController.java
@@ -231,17 +231,14 @@
         }
         mover.drop(formerOrders.removeExpired(runtime.clock().nanoTime()));
         Map<HostId, HostView> views = views();
-        Set<ServiceId> loaded = new HashSet<>();
+        Map<ServiceId, Long> pressure = new HashMap<>();
         for (PoolStatusMessage report : reports.all()) {
-            ServiceId pool = new ServiceId(report.getService());
-            if (report.getWaitingMilliCores() > 0 || forecast.isSurging(pool)) {
-                loaded.add(pool);
-            }
+            pressure.put(new ServiceId(report.getService()), report.getWaitingMilliCores());
         }
         Set<HostId> evacuate = new HashSet<>();
         List<FleetAction> orders = new ArrayList<>();
         Set<HostId> open = formerOrders.open();
-        waves.decide(views, hostsReadNanos, open, loaded, evacuate, orders);
+        waves.decide(views, hostsReadNanos, open, pressure, evacuate, orders);
         mover.decide(now, views, needs(), standbyPools, evacuate, orders);
         evacuate.addAll(open);
         evacuations.send(evacuate, hosts);
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WaveRunner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WaveRunner.java
@@ -86,7 +86,7 @@
             Map<HostId, HostView> views,
             long hostsReadNanos,
             Set<HostId> orderedByFormer,
-            Set<ServiceId> loaded,
+            Map<ServiceId, Long> pressure,
             Set<HostId> evacuate,
             List<FleetAction> orders) {
         orderedNanos.values().removeIf(ordered -> hostsReadNanos - ordered > 0);
@@ -97,7 +97,7 @@
                 Set<HostId> mayBegin = new HashSet<>(orderedByFormer);
                 mayBegin.removeAll(wave.done);
                 mayBegin.addAll(unconfirmed);
-                decide(wave, views, mayBegin, loaded, evacuate, orders);
+                decide(wave, views, mayBegin, pressure, evacuate, orders);
             }
         }
     }
@@ -106,13 +106,14 @@
             Wave wave,
             Map<HostId, HostView> views,
             Set<HostId> unconfirmed,
-            Set<ServiceId> loaded,
+            Map<ServiceId, Long> pressure,
             Set<HostId> evacuate,
             List<FleetAction> orders) {
         long elapsed = runtime.clock().nanoTime() - wave.firstSeenNanos;
         Duration remaining = wave.request.within().minusNanos(elapsed);
         WaveSchedule.Decision decision =
-                WaveSchedule.decide(wave.request, remaining, views, wave.done, unconfirmed, loaded);
+                WaveSchedule.decide(
+                        wave.request, remaining, views, wave.done, unconfirmed, pressure);
         evacuate.addAll(decision.evacuate());
         if (decision.complete()) {
             orders.add(FleetAction.withoutHost(() -> writeStatus(wave, true)));
