Put the check of hosts' orders back, and drop what it was narrowed for

SimHosts held that no two fencing tokens order a host within the spacing. With the orders of a lost holder it was narrowed to two daemons, so that a daemon that has restarted may order its hosts again after 0.5 s. No trace showed that case to be allowed, and an order of the ended process may still be on its way: hosts do not check tokens. Ages of orders and the evidence that an order is over stay.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetController.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetController.java
@@ -96,7 +96,7 @@
         caps = new CapGrants(runtime.clock(), runtime.log(), grants);
         reports = new PoolReports(runtime.clock(), runtime.log());
         record = new FleetDutyRecord(runtime);
-        formerOrders = new FormerOrders(orderSpacing(), FORMER_ORDER_DELAY);
+        formerOrders = new FormerOrders(orderSpacing());
         waves = new WaveRunner(runtime, this);
         mover = new HostMover(runtime, this, new PoolBalancer(forecast));
     }
@@ -125,7 +125,7 @@
     /** Restores the state that the former holder has stored. */
     private void restoreState(DutyOwnership acquired, FleetDutyState state) {
         boolean mayBeOpen = !(state.handedBack() && state.term() == acquired.term() - 1);
-        formerOrders.restore(state, mayBeOpen, self, acquiredNanos);
+        formerOrders.restore(state, mayBeOpen, acquiredNanos);
         mover.restore(formerOrders.moves());
         forecast.restore(state.surgesAt(runtime.clock().now()), seconds());
         runtime.log().log(
@@ -176,7 +176,6 @@
                 handedBack,
                 hosts,
                 orders,
-                Optional.of(self),
                 runtime.clock().now(),
                 forecast.snapshot(seconds()));
     }
@@ -383,7 +382,7 @@
 
     /** Returns the state of a host; one that the former holder may be moving counts as moving. */
     private State state(PooledHost host) {
-        boolean mayMove = formerOrders.isOpen(host.host()) && !mayOrder(host.host());
+        boolean mayMove = formerOrders.isOpen(host.host());
         return mayMove && host.state() == State.UP ? State.MOVING : host.state();
     }
 
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetDutyState.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetDutyState.java
@@ -12,7 +12,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.crocusgrade.core.fleet.plan.SurgeSequenceSnapshot;
-import org.crocusgrade.core.id.DaemonId;
 import org.crocusgrade.core.id.HostId;
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.core.port.FormatException;
@@ -27,7 +26,6 @@
  * @param handedBack whether that holder released the duty with no order open
  * @param orderedHosts hosts that it had ordered shortly before, or was about to order
  * @param orders what was ordered for them; hosts of a record of an older version are missing
- * @param writer the holder that wrote it; empty in a record of an older version
  * @param written when it was written, by the clock of the writer
  * @param surges what the writer had observed of the surges of the pools
  */
@@ -36,14 +34,12 @@
         boolean handedBack,
         Set<HostId> orderedHosts,
         Map<HostId, HostOrder> orders,
-        Optional<DaemonId> writer,
         Instant written,
         SurgeSequenceSnapshot surges) {
     /** Copies the collections. */
     FleetDutyState {
         orderedHosts = Set.copyOf(orderedHosts);
         orders = Map.copyOf(orders);
-        Objects.requireNonNull(writer);
     }
 
     byte[] encode() {
@@ -51,7 +47,6 @@
                 StoredFleet.newBuilder()
                         .setTerm(term)
                         .setHandedBack(handedBack)
-                        .setWriter(writer.map(DaemonId::value).orElse(""))
                         .setWrittenEpochMs(written.toEpochMilli())
                         .addAllLagSeconds(surges.lags())
                         .setLatestPool(surges.latest().map(ServiceId::value).orElse(""));
@@ -88,7 +83,6 @@
                 orders.put(
                         new HostId(order.getHost()), new HostOrder(service(order.getPool()), age));
             }
-            String writer = stored.getWriter();
             List<SurgeSequenceSnapshot.PoolSnapshot> pools = new ArrayList<>();
             for (StoredSurge surge : stored.getSurgesList()) {
                 pools.add(
@@ -106,7 +100,6 @@
                     stored.getHandedBack(),
                     hosts,
                     orders,
-                    writer.isEmpty() ? Optional.empty() : Optional.of(new DaemonId(writer)),
                     Instant.ofEpochMilli(stored.getWrittenEpochMs()),
                     new SurgeSequenceSnapshot(
                             stored.getLagSecondsList(), service(stored.getLatestPool()), pools));
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FormerOrders.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FormerOrders.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.crocusgrade.core.id.DaemonId;
 import org.crocusgrade.core.id.HostId;
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.core.port.HostControl.PooledHost;
@@ -26,42 +25,35 @@
  * is up in its new pool, and one that was to be maintained was seen in maintenance and is up again.
  * A later order for the same host would be the one in the record. Without such evidence, or if it
  * is not known what was ordered, an order may be carried out until the order spacing has passed
- * since it was sent. Until then no other daemon may order the host, whether the order is over or
- * not. A daemon that takes over from its own former process only waits until what that has sent has
- * arrived.
+ * since it was sent. Until then the host gets no order of this holder, whether that of the former
+ * one is over or not.
  */
 final class FormerOrders {
     private final Duration spacing;
     private final Map<HostId, Entry> entries = new HashMap<>();
-    private final Duration transit;
 
     /**
      * Creates an object without orders.
      *
      * @param spacing the time that must lie between the orders of two holders for one host
-     * @param transit how long an order may be on its way
      */
-    FormerOrders(Duration spacing, Duration transit) {
+    FormerOrders(Duration spacing) {
         this.spacing = spacing;
-        this.transit = transit;
     }
 
     /**
      * Replaces the orders by those of a record.
      *
      * @param mayBeOpen whether any of them may still be carried out
-     * @param self the daemon that has taken over
-     * @param acquiredNanos when it has, on its monotonic clock
+     * @param acquiredNanos when the duty was taken over, on the monotonic clock
      */
-    void restore(FleetDutyState state, boolean mayBeOpen, DaemonId self, long acquiredNanos) {
+    void restore(FleetDutyState state, boolean mayBeOpen, long acquiredNanos) {
         clear();
-        boolean ownOrders = state.writer().equals(Optional.of(self));
         for (HostId host : state.orderedHosts()) {
             Optional<HostOrder> order = Optional.ofNullable(state.orders().get(host));
             Duration age = order.map(HostOrder::age).orElse(Duration.ZERO);
             long until = acquiredNanos + spacing.minus(age).toNanos();
-            long from = ownOrders ? acquiredNanos + transit.toNanos() : until;
-            entries.put(host, new Entry(order, until, Math.min(from, until), mayBeOpen));
+            entries.put(host, new Entry(order, until, mayBeOpen));
         }
     }
 
@@ -112,7 +104,7 @@
     /** Returns whether a host may be ordered, as far as orders of the former holder matter. */
     boolean mayOrder(HostId host, long now) {
         Entry entry = entries.get(host);
-        return entry == null || now - entry.orderableNanos > 0;
+        return entry == null || now - entry.untilNanos > 0;
     }
 
     /** Returns whether an order may still move a host or begin its maintenance. */
@@ -147,14 +139,12 @@
     private static final class Entry {
         private final Optional<HostOrder> order;
         private final long untilNanos;
-        private final long orderableNanos;
         private boolean open;
         private boolean begun;
 
-        Entry(Optional<HostOrder> order, long untilNanos, long orderableNanos, boolean open) {
+        Entry(Optional<HostOrder> order, long untilNanos, boolean open) {
             this.order = order;
             this.untilNanos = untilNanos;
-            this.orderableNanos = orderableNanos;
             this.open = open;
         }
 
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FleetDutyRecordTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FleetDutyRecordTest.java
@@ -52,7 +52,6 @@
     private static FleetDutyState state(HostId host) {
         SurgeSequenceSnapshot none =
                 new SurgeSequenceSnapshot(List.of(), Optional.empty(), List.of());
-        return new FleetDutyState(
-                1, false, Set.of(host), Map.of(), Optional.empty(), Instant.EPOCH, none);
+        return new FleetDutyState(1, false, Set.of(host), Map.of(), Instant.EPOCH, none);
     }
 }
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FleetDutyStateTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FleetDutyStateTest.java
@@ -12,7 +12,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.crocusgrade.core.fleet.plan.SurgeSequenceSnapshot;
-import org.crocusgrade.core.id.DaemonId;
 import org.crocusgrade.core.id.HostId;
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.core.port.FormatException;
@@ -46,7 +45,6 @@
                             new HostOrder(Optional.of(A), Duration.ofMillis(700)),
                             new HostId("h2"),
                             new HostOrder(Optional.empty(), Duration.ZERO)),
-                    Optional.of(new DaemonId("d1")),
                     WRITTEN,
                     SURGES);
 
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FormerOrdersTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FormerOrdersTest.java
@@ -12,7 +12,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.crocusgrade.core.fleet.plan.SurgeSequenceSnapshot;
-import org.crocusgrade.core.id.DaemonId;
 import org.crocusgrade.core.id.HostId;
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.core.port.HostControl.PooledHost;
@@ -27,14 +26,11 @@
  */
 class FormerOrdersTest {
     private static final Duration SPACING = Duration.ofMillis(3500);
-    private static final Duration TRANSIT = Duration.ofMillis(500);
-    private static final DaemonId FORMER = new DaemonId("d1");
-    private static final DaemonId SELF = new DaemonId("d2");
     private static final HostId HOST = new HostId("h1");
     private static final ServiceId CALM = new ServiceId("calm");
     private static final ServiceId HOT = new ServiceId("hot");
 
-    private final FormerOrders orders = new FormerOrders(SPACING, TRANSIT);
+    private final FormerOrders orders = new FormerOrders(SPACING);
 
     @Test
     void hostThatHasArrivedIsFree() {
@@ -86,19 +82,11 @@
         restore(move(Duration.ofMillis(1000)));
         assertThat(orders.mayOrder(HOST, millis(2000)), is(false));
         FleetDutyState next = state(move(orders.recorded(millis(2000)).get(HOST).get().age()));
-        orders.restore(next, false, SELF, millis(2000));
+        orders.restore(next, false, millis(2000));
         assertThat(orders.mayOrder(HOST, millis(2400)), is(false));
         assertThat(orders.mayOrder(HOST, millis(2600)), is(true));
     }
 
-    @Test
-    void daemonThatHasRestartedMayOrderItsHostsAgain() {
-        orders.restore(state(move(Duration.ZERO)), true, FORMER, 0);
-        assertThat("may be on its way", orders.mayOrder(HOST, millis(400)), is(false));
-        assertThat(orders.mayOrder(HOST, millis(600)), is(true));
-        assertThat("nothing may start there", orders.open(), contains(HOST));
-    }
-
     private static Map<HostId, HostOrder> move(Duration age) {
         return Map.of(HOST, new HostOrder(Optional.of(HOT), age));
     }
@@ -108,14 +96,13 @@
     }
 
     private void restore(Map<HostId, HostOrder> kinds) {
-        orders.restore(state(kinds), true, SELF, 0);
+        orders.restore(state(kinds), true, 0);
     }
 
     private static FleetDutyState state(Map<HostId, HostOrder> kinds) {
         SurgeSequenceSnapshot none =
                 new SurgeSequenceSnapshot(List.of(), Optional.empty(), List.of());
-        return new FleetDutyState(
-                1, false, Set.of(HOST), kinds, Optional.of(FORMER), Instant.EPOCH, none);
+        return new FleetDutyState(1, false, Set.of(HOST), kinds, Instant.EPOCH, none);
     }
 
     private void see(ServiceId pool, State state) {
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimHosts.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimHosts.java
@@ -146,12 +146,11 @@
     }
 
     private Outcome carryOut(HostId host, Credentials credentials) {
-        HostOrder order =
-                new HostOrder(time.millis(), host, credentials.holder(), credentials.token());
+        HostOrder order = new HostOrder(time.millis(), host, credentials.token());
         HostOrder previous = latest.put(host, order);
         orders.add(order);
         if (previous != null
-                && !previous.holder.equals(order.holder)
+                && previous.token != order.token
                 && order.millis - previous.millis < ORDER_SPACING_MILLIS) {
             checks.addViolation("two holders order " + host + " within the order spacing");
         }
@@ -195,8 +194,7 @@
      * An order that was received.
      *
      * @param millis when it was received, on the simulated clock
-     * @param holder the daemon that sent it
      * @param token the fencing token of its sender
      */
-    record HostOrder(long millis, HostId host, String holder, long token) {}
+    record HostOrder(long millis, HostId host, long token) {}
 }
