Keep the orders of a former holder in one map, and one constructor of HostView

FleetDutyState kept the hosts with an order beside the orders, and a host without an order stood for a record of an older version; three places joined the two. A record of an older version now reads as orders that were just sent and are for maintenance, which nothing that a move does shows as over. Two differences, for such records only: a host seen in maintenance and up again after the take-over counts as arrived, because only maintenance brings it there, and a second take-over counts the age from the first, not from zero.

The second constructor of HostView had only tests as callers.

The tests keep their assertions; the one about older versions now reads a record as such a version wrote it.

--- a/core/src/main/java/org/crocusgrade/core/maintenance/HostView.java
+++ b/core/src/main/java/org/crocusgrade/core/maintenance/HostView.java
@@ -47,34 +47,6 @@
         Objects.requireNonNull(rack);
     }
 
-    /** Creates a view of a host that may be moved or maintained now. */
-    public HostView(
-            HostId host,
-            ServiceId pool,
-            Optional<WorkerId> worker,
-            State state,
-            Optional<String> rack,
-            long milliCores,
-            boolean standby,
-            boolean recentlyReported,
-            boolean evacuating,
-            int running,
-            int longRunning) {
-        this(
-                host,
-                pool,
-                worker,
-                state,
-                rack,
-                milliCores,
-                standby,
-                recentlyReported,
-                evacuating,
-                running,
-                longRunning,
-                true);
-    }
-
     /**
      * Returns whether the host is up, may be ordered about, and nothing can be running on it, so
      * that removing it from its pool ends no work: its pool is on standby, or the pool's owner
--- a/core/src/test/java/org/crocusgrade/core/fleet/plan/PoolBalancerTest.java
+++ b/core/src/test/java/org/crocusgrade/core/fleet/plan/PoolBalancerTest.java
@@ -207,7 +207,8 @@
                             !standby,
                             false,
                             running,
-                            longRunning));
+                            longRunning,
+                            true));
         }
     }
 }
--- a/core/src/test/java/org/crocusgrade/core/fleet/plan/SurgeSequenceSimulation.java
+++ b/core/src/test/java/org/crocusgrade/core/fleet/plan/SurgeSequenceSimulation.java
@@ -413,7 +413,8 @@
                     true,
                     false,
                     (busy ? 4 : 0) + (hasLongRunning ? 2 : 0),
-                    hasLongRunning ? 2 : 0);
+                    hasLongRunning ? 2 : 0,
+                    true);
         }
     }
 }
--- a/core/src/test/java/org/crocusgrade/core/maintenance/WaveScheduleTest.java
+++ b/core/src/test/java/org/crocusgrade/core/maintenance/WaveScheduleTest.java
@@ -132,7 +132,8 @@
                         true,
                         evacuated,
                         running,
-                        longRunning));
+                        longRunning,
+                        true));
         return host;
     }
 }
--- a/core/src/test/java/org/crocusgrade/core/schedule/HostsForLongRunningTasksTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/HostsForLongRunningTasksTest.java
@@ -122,7 +122,8 @@
                 true,
                 false,
                 longRunning,
-                longRunning);
+                longRunning,
+                true);
     }
 
     private static HostView standbyHost(String name) {
@@ -137,6 +138,7 @@
                 false,
                 false,
                 0,
-                0);
+                0,
+                true);
     }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetController.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetController.java
@@ -137,7 +137,7 @@
                 "orders-open",
                 mayBeOpen,
                 "ordered-lately",
-                state.orderedHosts().size());
+                state.orders().size());
     }
 
     /** Returns the state for the next holder, when this one releases the duty. */
@@ -157,24 +157,14 @@
             DutyOwnership held, boolean handedBack, List<FleetAction> next) {
         long now = runtime.clock().nanoTime();
         ordered.values().removeIf(o -> now - o.nanos > orderSpacing().toNanos());
-        Set<HostId> hosts = new HashSet<>();
-        Map<HostId, HostOrder> orders = new HashMap<>();
-        formerOrders
-                .recorded(now)
-                .forEach(
-                        (host, order) -> {
-                            hosts.add(host);
-                            order.ifPresent(o -> orders.put(host, o));
-                        });
+        Map<HostId, HostOrder> orders = formerOrders.recorded(now);
         ordered.forEach(
                 (host, order) -> orders.put(host, new HostOrder(order.to, age(host, order, now))));
         next.forEach(
                 o -> o.host().ifPresent(h -> orders.put(h, new HostOrder(o.to(), Duration.ZERO))));
-        hosts.addAll(orders.keySet());
         return new FleetDutyState(
                 held.term(),
                 handedBack,
-                hosts,
                 orders,
                 runtime.clock().now(),
                 forecast.snapshot(seconds()));
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetDutyState.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FleetDutyState.java
@@ -5,12 +5,10 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import org.crocusgrade.core.fleet.plan.SurgeSequenceSnapshot;
 import org.crocusgrade.core.id.HostId;
 import org.crocusgrade.core.id.ServiceId;
@@ -24,21 +22,19 @@
  *
  * @param term the term of the holder that wrote it
  * @param handedBack whether that holder released the duty with no order open
- * @param orderedHosts hosts that it had ordered shortly before, or was about to order
- * @param orders what was ordered for them; hosts of a record of an older version are missing
+ * @param orders its orders for hosts, sent shortly before or about to be sent; those of a record of
+ *     an older version, which names only the hosts, count as just sent, and for maintenance
  * @param written when it was written, by the clock of the writer
  * @param surges what the writer had observed of the surges of the pools
  */
 record FleetDutyState(
         long term,
         boolean handedBack,
-        Set<HostId> orderedHosts,
         Map<HostId, HostOrder> orders,
         Instant written,
         SurgeSequenceSnapshot surges) {
-    /** Copies the collections. */
+    /** Copies the map. */
     FleetDutyState {
-        orderedHosts = Set.copyOf(orderedHosts);
         orders = Map.copyOf(orders);
     }
 
@@ -50,7 +46,7 @@
                         .setWrittenEpochMs(written.toEpochMilli())
                         .addAllLagSeconds(surges.lags())
                         .setLatestPool(surges.latest().map(ServiceId::value).orElse(""));
-        orderedHosts.forEach(h -> stored.addOrderedHosts(h.value()));
+        orders.keySet().forEach(h -> stored.addOrderedHosts(h.value()));
         orders.forEach(
                 (host, order) ->
                         stored.addOrders(
@@ -75,9 +71,9 @@
     static FleetDutyState decode(byte[] bytes) throws FormatException {
         try {
             StoredFleet stored = StoredFleet.parseFrom(bytes);
-            Set<HostId> hosts = new HashSet<>();
-            stored.getOrderedHostsList().forEach(h -> hosts.add(new HostId(h)));
             Map<HostId, HostOrder> orders = new HashMap<>();
+            HostOrder unknown = new HostOrder(Optional.empty(), Duration.ZERO);
+            stored.getOrderedHostsList().forEach(h -> orders.put(new HostId(h), unknown));
             for (StoredHostOrder order : stored.getOrdersList()) {
                 Duration age = Duration.ofMillis(order.getAgeMs());
                 orders.put(
@@ -98,7 +94,6 @@
             return new FleetDutyState(
                     stored.getTerm(),
                     stored.getHandedBack(),
-                    hosts,
                     orders,
                     Instant.ofEpochMilli(stored.getWrittenEpochMs()),
                     new SurgeSequenceSnapshot(
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FormerOrders.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FormerOrders.java
@@ -23,10 +23,9 @@
  *
  * <p>An order is over when the host list shows what it was to bring about: a host that was to move
  * is up in its new pool, and one that was to be maintained was seen in maintenance and is up again.
- * A later order for the same host would be the one in the record. Without such evidence, or if it
- * is not known what was ordered, an order may be carried out until the order spacing has passed
- * since it was sent. Until then the host gets no order of this holder, whether that of the former
- * one is over or not.
+ * A later order for the same host would be the one in the record. Without such evidence an order
+ * may be carried out until the order spacing has passed since it was sent. Until then the host gets
+ * no order of this holder, whether that of the former one is over or not.
  */
 final class FormerOrders {
     private final Duration spacing;
@@ -49,12 +48,12 @@
      */
     void restore(FleetDutyState state, boolean mayBeOpen, long acquiredNanos) {
         clear();
-        for (HostId host : state.orderedHosts()) {
-            Optional<HostOrder> order = Optional.ofNullable(state.orders().get(host));
-            Duration age = order.map(HostOrder::age).orElse(Duration.ZERO);
-            long until = acquiredNanos + spacing.minus(age).toNanos();
-            entries.put(host, new Entry(order, until, mayBeOpen));
-        }
+        state.orders()
+                .forEach(
+                        (host, order) -> {
+                            long until = acquiredNanos + spacing.minus(order.age()).toNanos();
+                            entries.put(host, new Entry(order.to(), until, mayBeOpen));
+                        });
     }
 
     void clear() {
@@ -65,8 +64,8 @@
     void onHosts(Collection<PooledHost> hosts) {
         for (PooledHost host : hosts) {
             Entry entry = entries.get(host.host());
-            if (entry != null && entry.open && entry.order.isPresent()) {
-                entry.observe(host, entry.order.get().to());
+            if (entry != null && entry.open) {
+                entry.observe(host);
             }
         }
     }
@@ -91,13 +90,8 @@
 
     /** Returns the hosts for which an order may still be carried out. */
     Set<HostId> open() {
-        Set<HostId> hosts = new HashSet<>();
-        entries.forEach(
-                (host, entry) -> {
-                    if (entry.open) {
-                        hosts.add(host);
-                    }
-                });
+        Set<HostId> hosts = new HashSet<>(entries.keySet());
+        hosts.removeIf(h -> !isOpen(h));
         return hosts;
     }
 
@@ -119,36 +113,36 @@
         entries.forEach(
                 (host, entry) -> {
                     if (entry.open) {
-                        entry.order.flatMap(HostOrder::to).ifPresent(pool -> moves.put(host, pool));
+                        entry.to.ifPresent(pool -> moves.put(host, pool));
                     }
                 });
         return moves;
     }
 
-    /** Returns the orders for the next record; hosts whose order is not known have no value. */
-    Map<HostId, Optional<HostOrder>> recorded(long now) {
-        Map<HostId, Optional<HostOrder>> recorded = new HashMap<>();
+    /** Returns the orders for the next record. */
+    Map<HostId, HostOrder> recorded(long now) {
+        Map<HostId, HostOrder> recorded = new HashMap<>();
         entries.forEach(
                 (host, entry) -> {
                     Duration age = spacing.minusNanos(entry.untilNanos - now);
-                    recorded.put(host, entry.order.map(o -> new HostOrder(o.to(), age)));
+                    recorded.put(host, new HostOrder(entry.to, age));
                 });
         return recorded;
     }
 
     private static final class Entry {
-        private final Optional<HostOrder> order;
+        private final Optional<ServiceId> to;
         private final long untilNanos;
         private boolean open;
         private boolean begun;
 
-        Entry(Optional<HostOrder> order, long untilNanos, boolean open) {
-            this.order = order;
+        Entry(Optional<ServiceId> to, long untilNanos, boolean open) {
+            this.to = to;
             this.untilNanos = untilNanos;
             this.open = open;
         }
 
-        void observe(PooledHost host, Optional<ServiceId> to) {
+        void observe(PooledHost host) {
             begun |= host.state() == State.MAINTENANCE;
             boolean carriedOut = to.map(host.pool()::equals).orElse(begun);
             open = !(carriedOut && host.state() == State.UP);
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FleetActionTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FleetActionTest.java
@@ -54,7 +54,8 @@
                         reported,
                         evacuating,
                         running,
-                        longRunning);
+                        longRunning,
+                        true);
         return Map.of(HOST, view);
     }
 }
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FleetDutyRecordTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FleetDutyRecordTest.java
@@ -4,14 +4,15 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.is;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import org.crocusgrade.core.fleet.plan.SurgeSequenceSnapshot;
 import org.crocusgrade.core.id.HostId;
+import org.crocusgrade.daemon.batch.FleetDutyState.HostOrder;
 import org.junit.jupiter.api.Test;
 
 /** Checks that writes which the store applies late replace no newer record. */
@@ -43,15 +44,16 @@
             if (confirmed[0]) {
                 applied++;
                 byte[] stored = store.read(StoreKeys.FLEET_DUTY_STATE).orElseThrow().value();
-                assertThat(FleetDutyState.decode(stored).orderedHosts(), contains(SECOND));
+                assertThat(FleetDutyState.decode(stored).orders().keySet(), contains(SECOND));
             }
         }
         assertThat("the second write was applied in some cases", applied > 0, is(true));
     }
 
     private static FleetDutyState state(HostId host) {
+        HostOrder order = new HostOrder(Optional.empty(), Duration.ZERO);
         SurgeSequenceSnapshot none =
                 new SurgeSequenceSnapshot(List.of(), Optional.empty(), List.of());
-        return new FleetDutyState(1, false, Set.of(host), Map.of(), Instant.EPOCH, none);
+        return new FleetDutyState(1, false, Map.of(host, order), Instant.EPOCH, none);
     }
 }
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FleetDutyStateTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FleetDutyStateTest.java
@@ -10,12 +10,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.crocusgrade.core.fleet.plan.SurgeSequenceSnapshot;
 import org.crocusgrade.core.id.HostId;
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.core.port.FormatException;
 import org.crocusgrade.daemon.batch.FleetDutyState.HostOrder;
+import org.crocusgrade.peer.proto.StoredFleet;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -39,7 +39,6 @@
             new FleetDutyState(
                     7,
                     true,
-                    Set.of(new HostId("h1"), new HostId("h2")),
                     Map.of(
                             new HostId("h1"),
                             new HostOrder(Optional.of(A), Duration.ofMillis(700)),
@@ -53,6 +52,15 @@
         assertThat(FleetDutyState.decode(STATE.encode()), is(STATE));
     }
 
+    /** Guards against a host whose order of an older version is unknown, and so taken for over. */
+    @Test
+    void hostsOfARecordOfAnOlderVersionCountAsJustOrdered() throws FormatException {
+        byte[] older =
+                StoredFleet.newBuilder().setTerm(1).addOrderedHosts("h1").build().toByteArray();
+        HostOrder order = new HostOrder(Optional.empty(), Duration.ZERO);
+        assertThat(FleetDutyState.decode(older).orders(), is(Map.of(new HostId("h1"), order)));
+    }
+
     @Test
     void surgeAgesAdvanceWithTheAgeOfTheState() {
         SurgeSequenceSnapshot later = STATE.surgesAt(WRITTEN.plusMillis(2500));
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FormerOrdersTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FormerOrdersTest.java
@@ -10,14 +10,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.crocusgrade.core.fleet.plan.SurgeSequenceSnapshot;
 import org.crocusgrade.core.id.HostId;
 import org.crocusgrade.core.id.ServiceId;
+import org.crocusgrade.core.port.FormatException;
 import org.crocusgrade.core.port.HostControl.PooledHost;
 import org.crocusgrade.core.port.HostControl.State;
 import org.crocusgrade.core.submission.Resources;
 import org.crocusgrade.daemon.batch.FleetDutyState.HostOrder;
+import org.crocusgrade.peer.proto.StoredFleet;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -66,8 +67,9 @@
     }
 
     @Test
-    void orderOfAnOlderVersionIsNeverSeenToEnd() {
-        restore(Map.of());
+    void moveOfAnOlderVersionIsNeverSeenToEnd() throws FormatException {
+        byte[] older = StoredFleet.newBuilder().addOrderedHosts(HOST.value()).build().toByteArray();
+        orders.restore(FleetDutyState.decode(older), true, 0);
         see(HOT, State.UP);
         assertThat(orders.open(), contains(HOST));
         assertThat(orders.moves(), is(Map.of()));
@@ -81,7 +83,7 @@
     void spacingCountsFromTheOrderThroughSeveralHandOvers() {
         restore(move(Duration.ofMillis(1000)));
         assertThat(orders.mayOrder(HOST, millis(2000)), is(false));
-        FleetDutyState next = state(move(orders.recorded(millis(2000)).get(HOST).get().age()));
+        FleetDutyState next = state(move(orders.recorded(millis(2000)).get(HOST).age()));
         orders.restore(next, false, millis(2000));
         assertThat(orders.mayOrder(HOST, millis(2400)), is(false));
         assertThat(orders.mayOrder(HOST, millis(2600)), is(true));
@@ -102,7 +104,7 @@
     private static FleetDutyState state(Map<HostId, HostOrder> kinds) {
         SurgeSequenceSnapshot none =
                 new SurgeSequenceSnapshot(List.of(), Optional.empty(), List.of());
-        return new FleetDutyState(1, false, Set.of(HOST), kinds, Instant.EPOCH, none);
+        return new FleetDutyState(1, false, kinds, Instant.EPOCH, none);
     }
 
     private void see(ServiceId pool, State state) {
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/HostMoverTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/HostMoverTest.java
@@ -104,7 +104,8 @@
                         true,
                         true,
                         running,
-                        0));
+                        0,
+                        true));
     }
 
     private BatchRuntime runtime() {
