--- a/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolBalancer.java
+++ b/core/src/main/java/org/crocusgrade/core/fleet/plan/PoolBalancer.java
@@ -220,7 +220,7 @@
      * a surge, the cores that its tasks use and wait for are no guide: as much work again arrives.
      */
     private double target(PoolNeed need, double now) {
-        double surge = forecast.surgeRate(need.pool()) * rules.headroom();
+        double surge = surgeCores(need.pool());
         double batch = need.batchCores() - need.waitingCores();
         return need.hostCores(surgesOn(need.pool(), now) ? surge : batch);
     }
@@ -234,7 +234,7 @@
         if (next.isEmpty() || next.get().inSeconds() >= LEAD_SECONDS) {
             return 0;
         }
-        double surge = forecast.surgeRate(pool) * rules.headroom();
+        double surge = surgeCores(pool);
         double soon = need.hostCores(need.batchCores() - need.waitingCores() + surge);
         boolean isOnStandby = soon - capacity <= standbyCores;
         boolean isTime = !isOnStandby || next.get().inSeconds() < rules.standbyLead();
@@ -252,15 +252,19 @@
             double running = need.batchCores() - need.waitingCores();
             return need.hostCores(need.batchCores()) - need.hostCores(running);
         }
-        double rate = forecast.surgeRate(pool);
         boolean measured = forecast.isPeakMeasured(pool, now);
         double late = measured ? rules.lateWork().applyAsDouble(need) : need.backlog();
         double running = need.batchCores() - need.waitingCores();
-        double surge = rate * rules.headroom();
+        double surge = surgeCores(pool);
         double cores = Math.max(running - surge, late / rules.catchUp());
         return need.hostCores(surge + cores) - need.hostCores(surge);
     }
 
+    /** Returns the cores for the work that arrives in a surge of a pool, with headroom. */
+    private double surgeCores(ServiceId pool) {
+        return forecast.surgeRate(pool) * rules.headroom();
+    }
+
     private boolean surgesOn(ServiceId pool, double now) {
         return forecast.isSurging(pool)
                 && (forecast.surgeLeft(pool, now) > MIN_SURGE_LEFT_SECONDS
