Split the sending of orders from the session with a worker

The orders go to OrderSender, word for word; they share the lease and the target with the polls. No change of behaviour.

--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/OrderSender.java
@@ -0,0 +1,136 @@
+package org.crocusgrade.daemon.batch;
+
+import org.crocusgrade.core.port.WorkerOrders.StartOutcome;
+import org.crocusgrade.core.port.WorkerOrders.StartReply;
+import org.crocusgrade.core.port.WorkerOrders.StartRun;
+import org.crocusgrade.core.schedule.Order;
+import org.crocusgrade.core.schedule.Placement;
+import org.crocusgrade.core.schedule.RepeatDelay;
+import org.crocusgrade.core.schedule.StartAnswer;
+
+/**
+ * Sends the orders of a pool's owner to one incarnation of a worker and reports their answers.
+ * Starts and stops whose answers are late are repeated (see {@link RepeatedOrder}).
+ */
+final class OrderSender {
+    private final BatchRuntime runtime;
+    private final WorkerSession session;
+    private final RunLease lease;
+    private final RepeatDelay orderDelay;
+    private final WorkerSession.Listener listener;
+
+    OrderSender(
+            BatchRuntime runtime,
+            WorkerSession session,
+            RunLease lease,
+            RepeatDelay orderDelay,
+            WorkerSession.Listener listener) {
+        this.runtime = runtime;
+        this.session = session;
+        this.lease = lease;
+        this.orderDelay = orderDelay;
+        this.listener = listener;
+    }
+
+    void send(Order order) {
+        if (order instanceof Order.Start start) {
+            sendStart(start.placement());
+            return;
+        }
+        if (order instanceof Order.Pace pace) {
+            sendPace(pace);
+            return;
+        }
+        if (order instanceof Order.Stop stop) {
+            sendStop(stop);
+        }
+    }
+
+    private void sendPace(Order.Pace pace) {
+        Placement placement = pace.placement();
+        runtime.orders()
+                .pace(session.target(), placement.task().id(), placement.run(), pace.percent())
+                .emitOn(runtime.loop())
+                .subscribe()
+                .with(
+                        clock -> {
+                            lease.calibrate(clock);
+                            listener.onPaceAnswer(pace, true);
+                        },
+                        f -> listener.onPaceAnswer(pace, false));
+    }
+
+    private void sendStart(Placement placement) {
+        StartRun order =
+                new StartRun(
+                        placement.task().id(),
+                        placement.run(),
+                        placement.task().step().submission().spec().payload(),
+                        lease.extend(),
+                        placement.checkpoint(),
+                        placement.ticket());
+        new RepeatedOrder<>(
+                        runtime,
+                        orderDelay,
+                        () -> runtime.orders().start(session.target(), order),
+                        () -> !session.isClosed() && placement.isStarting(),
+                        new RepeatedOrder.Result<StartReply>() {
+                            @Override
+                            public void onAnswer(StartReply reply, boolean repeated) {
+                                onStarted(placement, reply, repeated);
+                            }
+
+                            @Override
+                            public void onFailure(Throwable failure, boolean mayHaveArrived) {
+                                onStartFailure(placement, failure, mayHaveArrived);
+                            }
+                        })
+                .send();
+    }
+
+    private void onStarted(Placement placement, StartReply reply, boolean repeated) {
+        reply.clockMillis().ifPresent(lease::calibrate);
+        StartAnswer answer =
+                switch (reply.outcome()) {
+                    case STARTED -> StartAnswer.STARTED;
+                    case NO_ROOM -> StartAnswer.NO_ROOM;
+                    case NO_TICKET -> StartAnswer.NO_TICKET;
+                    case SUPERSEDED -> StartAnswer.SUPERSEDED;
+                    default -> StartAnswer.REFUSED;
+                };
+        boolean fencedOff = reply.outcome() == StartOutcome.FENCED;
+        if (repeated && answer != StartAnswer.STARTED && !fencedOff) {
+            answer = StartAnswer.UNKNOWN;
+        }
+        listener.onStartAnswer(session, placement, answer, reply.outcome().name());
+        if (fencedOff) {
+            listener.onFencedOff(session);
+        }
+    }
+
+    private void onStartFailure(Placement placement, Throwable failure, boolean mayHaveArrived) {
+        StartAnswer answer = mayHaveArrived ? StartAnswer.UNKNOWN : StartAnswer.NOT_SENT;
+        listener.onStartAnswer(session, placement, answer, String.valueOf(failure.getMessage()));
+    }
+
+    private void sendStop(Order.Stop stop) {
+        new RepeatedOrder<>(
+                        runtime,
+                        orderDelay,
+                        () -> runtime.orders().stop(session.target(), stop.task(), stop.run()),
+                        () -> !session.isClosed(),
+                        new RepeatedOrder.Result<Long>() {
+                            @Override
+                            public void onAnswer(Long clock, boolean repeated) {
+                                lease.calibrate(clock);
+                                stop.placement().ifPresent(p -> listener.onStopAnswer(p, true));
+                            }
+
+                            @Override
+                            public void onFailure(Throwable failure, boolean mayHaveArrived) {
+                                stop.placement().ifPresent(p -> listener.onStopAnswer(p, false));
+                            }
+                        })
+                .send();
+    }
+}
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -7,9 +7,6 @@
 import org.crocusgrade.core.port.OrderException;
 import org.crocusgrade.core.port.WorkerEntry;
 import org.crocusgrade.core.port.WorkerOrders.Poll;
-import org.crocusgrade.core.port.WorkerOrders.StartOutcome;
-import org.crocusgrade.core.port.WorkerOrders.StartReply;
-import org.crocusgrade.core.port.WorkerOrders.StartRun;
 import org.crocusgrade.core.port.WorkerOrders.Target;
 import org.crocusgrade.core.port.WorkerOrders.WorkerReport;
 import org.crocusgrade.core.schedule.Order;
@@ -22,8 +19,8 @@
 
 /**
  * The session of a pool's owner with one incarnation of a worker. It keeps one long poll open,
- * which extends the lease of all runs and returns the ends of runs, and it sends the orders. Calls
- * whose answers are late are repeated (see {@link RepeatDelay}).
+ * which extends the lease of all runs and returns the ends of runs; a poll whose answer is late is
+ * repeated (see {@link RepeatDelay}). Orders go through its {@link OrderSender}.
  */
 final class WorkerSession {
     /** How long the worker may delay its answer to a poll until a run ends. */
@@ -66,9 +63,9 @@
     private boolean registered = true;
     private boolean fenced;
     private boolean closed;
-    private final RepeatDelay orderDelay;
     private final RepeatDelay pollDelay = new RepeatDelay(POLL_WAIT);
     private final RunLease lease;
+    private final OrderSender orderSender;
     private Optional<PollRound> round = Optional.empty();
     private long listedEnd;
 
@@ -91,10 +88,10 @@
             Listener listener) {
         this.runtime = runtime;
         this.node = node;
-        this.orderDelay = orderDelay;
         lease = new RunLease(runtime);
         this.target = new Target(entry.worker(), entry.address(), token);
         this.listener = listener;
+        orderSender = new OrderSender(runtime, this, lease, orderDelay, listener);
     }
 
     WorkerNode node() {
@@ -145,6 +142,10 @@
         closed = true;
     }
 
+    boolean isClosed() {
+        return closed;
+    }
+
     /** Returns whether the leases of all runs have certainly ended. */
     boolean areLeasesExpired() {
         return failures > 0 && lease.isExpired();
@@ -158,105 +159,7 @@
     }
 
     void send(Order order) {
-        if (order instanceof Order.Start start) {
-            sendStart(start.placement());
-            return;
-        }
-        if (order instanceof Order.Pace pace) {
-            sendPace(pace);
-            return;
-        }
-        if (order instanceof Order.Stop stop) {
-            sendStop(stop);
-        }
-    }
-
-    private void sendPace(Order.Pace pace) {
-        Placement placement = pace.placement();
-        runtime.orders()
-                .pace(target, placement.task().id(), placement.run(), pace.percent())
-                .emitOn(runtime.loop())
-                .subscribe()
-                .with(
-                        clock -> {
-                            lease.calibrate(clock);
-                            listener.onPaceAnswer(pace, true);
-                        },
-                        f -> listener.onPaceAnswer(pace, false));
-    }
-
-    private void sendStart(Placement placement) {
-        StartRun order =
-                new StartRun(
-                        placement.task().id(),
-                        placement.run(),
-                        placement.task().step().submission().spec().payload(),
-                        lease.extend(),
-                        placement.checkpoint(),
-                        placement.ticket());
-        new RepeatedOrder<>(
-                        runtime,
-                        orderDelay,
-                        () -> runtime.orders().start(target, order),
-                        () -> !closed && placement.isStarting(),
-                        new RepeatedOrder.Result<StartReply>() {
-                            @Override
-                            public void onAnswer(StartReply reply, boolean repeated) {
-                                onStarted(placement, reply, repeated);
-                            }
-
-                            @Override
-                            public void onFailure(Throwable failure, boolean mayHaveArrived) {
-                                onStartFailure(placement, failure, mayHaveArrived);
-                            }
-                        })
-                .send();
-    }
-
-    private void onStarted(Placement placement, StartReply reply, boolean repeated) {
-        reply.clockMillis().ifPresent(lease::calibrate);
-        StartAnswer answer =
-                switch (reply.outcome()) {
-                    case STARTED -> StartAnswer.STARTED;
-                    case NO_ROOM -> StartAnswer.NO_ROOM;
-                    case NO_TICKET -> StartAnswer.NO_TICKET;
-                    case SUPERSEDED -> StartAnswer.SUPERSEDED;
-                    default -> StartAnswer.REFUSED;
-                };
-        boolean fencedOff = reply.outcome() == StartOutcome.FENCED;
-        if (repeated && answer != StartAnswer.STARTED && !fencedOff) {
-            answer = StartAnswer.UNKNOWN;
-        }
-        listener.onStartAnswer(this, placement, answer, reply.outcome().name());
-        if (fencedOff) {
-            listener.onFencedOff(this);
-        }
-    }
-
-    private void onStartFailure(Placement placement, Throwable failure, boolean mayHaveArrived) {
-        StartAnswer answer = mayHaveArrived ? StartAnswer.UNKNOWN : StartAnswer.NOT_SENT;
-        listener.onStartAnswer(this, placement, answer, String.valueOf(failure.getMessage()));
-    }
-
-    private void sendStop(Order.Stop stop) {
-        new RepeatedOrder<>(
-                        runtime,
-                        orderDelay,
-                        () -> runtime.orders().stop(target, stop.task(), stop.run()),
-                        () -> !closed,
-                        new RepeatedOrder.Result<Long>() {
-                            @Override
-                            public void onAnswer(Long clock, boolean repeated) {
-                                lease.calibrate(clock);
-                                stop.placement().ifPresent(p -> listener.onStopAnswer(p, true));
-                            }
-
-                            @Override
-                            public void onFailure(Throwable failure, boolean mayHaveArrived) {
-                                stop.placement().ifPresent(p -> listener.onStopAnswer(p, false));
-                            }
-                        })
-                .send();
+        orderSender.send(order);
     }
 
     private void poll() {
