--- a/review/standin/Bed.java
+++ b/review/standin/Bed.java
@@ -29,6 +29,11 @@
     /** A start or an end of a run, as a worker has printed it. */
     record Seen(long millis, String worker, String what, String task, long run, String detail) {}
 
+    /** A case: returns 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
+    interface Case {
+        int play(Bed bed, boolean trouble) throws Exception;
+    }
+
     private final Path root;
     private final PrintWriter record;
     private final long startMillis = System.currentTimeMillis();
@@ -68,6 +73,23 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     }
 
+    /** Plays a case, with its disruption unless {@code TROUBLE} is 0, and ends the process. */
+    static void main(String[] args, Case played) {
+        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        int result = 2;
+        try (Bed bed = new Bed(Path.of(args[0]))) {
+            try {
+                result = played.play(bed, trouble);
+            } catch (Throwable e) {
+                bed.log("the case could not run: " + e);
+            }
+            bed.log("exit " + result);
+        } catch (IOException e) {
+            System.err.println(e.getMessage());
+        }
+        System.exit(result);
+    }
+
     synchronized void log(String text) {
         record.printf("%8.3f %s%n", (System.currentTimeMillis() - startMillis) / 1000.0, text);
     }
--- a/review/standin/LateOrder.java
+++ b/review/standin/LateOrder.java
@@ -1,4 +1,3 @@
-import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,14 +12,8 @@
 
     private LateOrder() {}
 
-    public static void main(String[] args) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int result = 2;
-        try (Bed bed = new Bed(Path.of(args[0]))) {
-            result = play(bed, trouble);
-            bed.log("exit " + result);
-        }
-        System.exit(result);
+    public static void main(String[] args) {
+        Bed.main(args, LateOrder::play);
     }
 
     private static int play(Bed bed, boolean trouble) throws Exception {
--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -8,7 +8,7 @@
 /**
  * A worker as a process of its own. It starts, stops and lists runs as the protocol says, and
  * checks in every 1.5 s. What a work item does stands in its text: {@code work} and {@code cpu},
- * {@code mem}, {@code lasts}. Each start and each end is a line on standard output.
+ * {@code mem}, {@code lasts}, and {@code exits}, after which one that lasts ends as done. Each start and each end is a line on standard output.
  */
 final class Worker {
     private static final int LIST = 500;
@@ -22,6 +22,7 @@
         private final long cpu;
         private final long mem;
         private final boolean lasts;
+        private final long exits;
         private long stopAt = Long.MAX_VALUE;
 
         Run(long number, long begun, Map<String, Long> text) {
@@ -31,6 +32,7 @@
             cpu = text.getOrDefault("cpu", 0L);
             mem = text.getOrDefault("mem", 0L);
             lasts = text.getOrDefault("lasts", 0L) == 1;
+            exits = text.getOrDefault("exits", Long.MAX_VALUE);
         }
     }
 
@@ -133,7 +135,7 @@
                         end(task, "lapsed");
                     } else if (now >= run.stopAt) {
                         end(task, "stopped");
-                    } else if (!run.lasts && now - run.begun >= run.work) {
+                    } else if (now - run.begun >= (run.lasts ? run.exits : run.work)) {
                         end(task, "done");
                     }
                 }
