--- a/review/standin/CrashingWorker.java
+++ b/review/standin/CrashingWorker.java
@@ -1,10 +1,10 @@
-import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 
 /**
- * The only worker with a label crashes four times and is then sound. No run ends as failed, so the
- * submission that needs the label must not be shown as failed.
+ * The only worker with a label crashes four times and is then sound. No run ends as failed, and work
+ * items that last have no limit of attempts, so the submission that needs the label must not be shown
+ * as failed, and its work item must be started again.
  */
 final class CrashingWorker {
     private static final int CRASHES = 4;
@@ -14,14 +14,8 @@
 
     private CrashingWorker() {}
 
-    public static void main(String[] args) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int result = 2;
-        try (Bed bed = new Bed(Path.of(args[0]))) {
-            result = play(bed, trouble);
-            bed.log("exit " + result);
-        }
-        System.exit(result);
+    public static void main(String[] args) {
+        Bed.main(args, CrashingWorker::play);
     }
 
     private static int play(Bed bed, boolean trouble) throws Exception {
@@ -36,12 +30,13 @@
             return 2;
         }
         String path = Bed.PREFIX + "00000000000000c3";
-        Map<String, Object> step = Bed.step(1, 1000, 500, 8000);
+        Map<String, Object> step = Bed.step(1, 1300, 2000, 500);
         step.put("requires", "g");
+        step.put("long_running", true);
         String body =
                 Json.write(
                         Json.object(
-                                "spec", "work=8000;cpu=1000;mem=500", "steps", List.of(step)));
+                                "spec", "lasts=1;cpu=1300;mem=2000", "steps", List.of(step)));
         if (!bed.submit(path, body, 20)) {
             return 2;
         }
@@ -52,24 +47,19 @@
             labelled.start();
         }
         bed.log("end of traffic");
-        // 8 s of work, finish_s of 14 s, and a margin.
-        long until = bed.millis() + 30_000;
-        String state = "";
-        while (bed.millis() < until) {
-            state = bed.state(path);
-            if (state.equals("completed") || state.equals("failed")) {
-                break;
-            }
-            Bed.sleep(1000);
-        }
+        // 6 s after the last run, the 3 s of the rule, and a margin.
+        Bed.sleep(15_000);
+        String state = bed.state(path);
         long failed =
                 bed.seen.stream()
                         .filter(s -> s.what().equals("END") && s.detail().equals("failed"))
                         .count();
         bed.log("shown as " + state + "; max_attempts " + ATTEMPTS + "; ends failed: " + failed);
+        long starts = bed.seen.stream().filter(s -> s.what().equals("START")).count();
+        bed.log("starts " + starts);
         if (state.equals("failed")) {
             return failed < ATTEMPTS ? 1 : 0;
         }
-        return state.equals("completed") ? 0 : 2;
+        return state.equals("running") ? 0 : 2;
     }
 }
