review: case 4 with an ordinary crash at some moment before the late start (TWICE)

What was done: the start is late by 11 s, the worker is down for 2 s at some moment before, and the work item was done and its submission completed before both. Command: review/build.sh && review/4/run.sh; TROUBLE=0 review/4/run.sh

--- a/review/standin/LateOrder.java
+++ b/review/standin/LateOrder.java
@@ -3,12 +3,13 @@
 import java.util.Map;
 
 /**
- * A start gets no answer and is carried out 9.5 s later. Meanwhile its worker has crashed and has
- * started again under its name. No work item may run twice at the same time.
+ * A start gets no answer and is carried out 11 s later. The work item has been done by another run
+ * before, and its submission was shown as completed. In between, the worker has crashed once and has
+ * started again under its name. The work item must not be started again.
  */
 final class LateOrder {
-    private static final long HOLD = 9500;
-    private static final long DOWN = 7000;
+    private static final long HOLD = 11_000;
+    private static final long DOWN = 2000;
 
     private LateOrder() {}
 
@@ -37,28 +38,32 @@
             bed.startsToHold.set(1);
         }
         String path = Bed.PREFIX + "00000000000000d4";
-        if (!bed.submit(path, body(9000), 20)) {
+        if (!bed.submit(path, body(2000), 20)) {
+            return 2;
+        }
+        long sent = bed.millis();
+        String state = "";
+        while (bed.millis() < sent + 6000 && !state.equals("completed")) {
+            Bed.sleep(500);
+            state = bed.state(path);
+        }
+        if (!state.equals("completed")) {
+            bed.log("the submission is not completed in time for the case");
             return 2;
         }
         if (trouble) {
-            Bed.sleep(300);
             Bed.WorkerHandle held = bed.heldAt;
             if (held == null) {
                 return 2;
             }
+            Bed.sleep(sent + 6000 - bed.millis());
             held.kill();
             Bed.sleep(DOWN);
             held.start();
         }
-        String state = "";
-        long until = bed.millis() + 25_000;
-        while (bed.millis() < until && !state.equals("completed")) {
-            Bed.sleep(1000);
-            state = bed.state(path);
-        }
-        Bed.sleep(3000);
-        bed.log("shown as " + state);
-        return ranTwice(bed) ? 1 : state.equals("completed") ? 0 : 2;
+        Bed.sleep(sent + HOLD + 4000 - bed.millis());
+        bed.log("shown as " + bed.state(path));
+        return ranTwice(bed) ? 1 : 0;
     }
 
     /** Returns whether a run began while another run of its work item was active, or after its end. */
