--- a/review/standin/CrashingWorker.java
+++ b/review/standin/CrashingWorker.java
@@ -20,10 +20,10 @@
 
     private static int play(Bed bed, boolean trouble) throws Exception {
         bed.configure(1, ATTEMPTS, "s1");
-        for (int i = 1; i <= 5; i++) {
+        for (int i = 1; i <= 6; i++) {
             bed.worker("i-" + i, "s1", "a", "r1-1", 16000);
         }
-        Bed.WorkerHandle labelled = bed.worker("i-6", "s1", "g", "r1-2", 16000);
+        Bed.WorkerHandle labelled = bed.worker("i-7", "s1", "g", "r1-2", 16000);
         bed.daemon(1);
         bed.daemon(2);
         if (!bed.awaitReady(20_000)) {
--- a/review/standin/LateOrder.java
+++ b/review/standin/LateOrder.java
@@ -21,7 +21,7 @@
         bed.proxied = true;
         bed.holdMillis = HOLD;
         bed.configure(1, 4, "s1");
-        for (int i = 1; i <= 6; i++) {
+        for (int i = 1; i <= 7; i++) {
             bed.worker("i-" + i, "s1", "a", "r1-1", 16000);
         }
         bed.daemon(1);
