--- a/review/standin/Bed.java
+++ b/review/standin/Bed.java
@@ -23,7 +23,7 @@
 final class Bed implements AutoCloseable {
     static final String IP = "127.0.0.1";
     static final String HOST = "callers.example";
-    static final String PREFIX = "/work/";
+    static final String PREFIX = "/jobs/";
     static final long HOLD_MAX = 10_000;
 
     /** A start or an end of a run, as a worker has printed it. */
