Keep reading workers and loading pools beside an unreadable entry

Cause: the JSON decoder recurses for each bracket and overflows the stack of 256 KB at some 900 levels. Nobody caught the error: PrefixWatcher did not send its next watch, and WorkerRegistry.refresh called neither handler. An exception of a listener or of one registration did the same.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
@@ -402,13 +402,17 @@
     }
 
     private void onWorkers() {
-        owners.values().forEach(o -> o.onWorkers(registry.workers()));
+        for (PoolOwner owner : List.copyOf(owners.values())) {
+            runtime.guard(() -> owner.onWorkers(registry.workers()));
+        }
     }
 
     private void tick() {
         loopMonitor.tick();
         keys.tick();
-        owners.values().forEach(PoolOwner::tick);
+        for (PoolOwner owner : List.copyOf(owners.values())) {
+            runtime.guard(owner::tick);
+        }
         if (duties == null) {
             return;
         }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchRuntime.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchRuntime.java
@@ -15,6 +15,7 @@
 import org.crocusgrade.core.port.StoreEntry;
 import org.crocusgrade.core.port.TransactionalStore;
 import org.crocusgrade.core.port.WorkerOrders;
+import org.crocusgrade.daemon.concurrent.Failures;
 import org.crocusgrade.daemon.control.PrefixWatcher;
 import org.crocusgrade.daemon.log.Event;
 import org.crocusgrade.daemon.log.EventLog;
@@ -132,14 +133,14 @@
         loop.scheduleWithFixedDelay(() -> guard(step), millis, millis, TimeUnit.MILLISECONDS);
     }
 
-    /** Runs a step and logs its runtime exceptions. */
+    /** Runs a step and logs the failures that the daemon survives. */
     public void guard(Runnable step) {
-        try {
-            step.run();
-        } catch (RuntimeException e) {
-            StackTraceElement[] trace = e.getStackTrace();
-            Object where = trace.length > 0 ? trace[0] : "unknown";
-            log.log(Event.UNEXPECTED, "failure", e, "at", where);
-        }
+        Failures.guard(step, this::logUnexpected);
+    }
+
+    private void logUnexpected(Throwable failure) {
+        StackTraceElement[] trace = failure.getStackTrace();
+        Object where = trace.length > 0 ? trace[0] : "unknown";
+        log.log(Event.UNEXPECTED, "failure", failure, "at", where);
     }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyManager.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyManager.java
@@ -236,7 +236,7 @@
                                 holder.getBoot(),
                                 entry.revision()));
             }
-        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+        } catch (InvalidProtocolBufferException | RuntimeException e) {
             runtime.log().log(Event.RECORD_UNREADABLE, "key", entry.key(), "cause", e);
         }
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolLoader.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolLoader.java
@@ -77,7 +77,7 @@
                     String id = entry.key().substring(StoreKeys.SUBMISSIONS.length());
                     submissions.put(new SubmissionId(id), stored);
                 }
-            } catch (FormatException | IllegalArgumentException e) {
+            } catch (FormatException | RuntimeException e) {
                 unreadable(entry, e);
             }
         }
@@ -99,7 +99,7 @@
                     progress.put(submission, RecordCodec.readProgress(entry.value()));
                     revisions.put(submission, entry.revision());
                 }
-            } catch (FormatException | IllegalArgumentException e) {
+            } catch (FormatException | RuntimeException e) {
                 unreadable(entry, e);
             }
         }
@@ -111,7 +111,7 @@
         registry.refresh(
                 () -> {
                     owner.load(tracked, revisions);
-                    owner.onWorkers(registry.workers());
+                    runtime.guard(() -> owner.onWorkers(registry.workers()));
                     readHosts();
                 },
                 f -> retry("workers", f));
@@ -136,7 +136,7 @@
                 RecordCodec.restore(submission, progress);
             }
             return Optional.of(submission);
-        } catch (FormatException | IllegalArgumentException e) {
+        } catch (FormatException | RuntimeException e) {
             runtime.log().log(Event.RECORD_UNREADABLE, "id", id, "cause", e);
             return Optional.empty();
         }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
@@ -87,7 +87,8 @@
     void onWorkers(Map<WorkerId, WorkerEntry> registered) {
         for (WorkerEntry entry : registered.values()) {
             if (entry.service().equals(service)) {
-                onWorker(entry);
+                // One entry that cannot be taken over must not keep back the others.
+                runtime.guard(() -> onWorker(entry));
             }
         }
         for (WorkerSession session : sessions.values()) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordCodec.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordCodec.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.util.BitSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import org.crocusgrade.core.id.CustomerId;
 import org.crocusgrade.core.id.QueueId;
@@ -62,8 +63,10 @@
 
     static StoredProgress readProgress(byte[] value) throws FormatException {
         try {
-            return StoredProgress.parseFrom(value);
-        } catch (InvalidProtocolBufferException e) {
+            StoredProgress progress = StoredProgress.parseFrom(value);
+            Objects.checkIndex(progress.getState(), SubmissionState.values().length);
+            return progress;
+        } catch (InvalidProtocolBufferException | IndexOutOfBoundsException e) {
             throw new FormatException("cannot parse stored progress of a submission", e);
         }
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WaveRunner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WaveRunner.java
@@ -71,7 +71,7 @@
             if (waves.putIfAbsent(request.wave(), wave) == null) {
                 wave.restore(coordination.get(StoreKeys.wave(request.wave())));
             }
-        } catch (FormatException e) {
+        } catch (FormatException | RuntimeException e) {
             runtime.log().log(Event.RECORD_UNREADABLE, "key", entry.key(), "cause", e);
         }
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerRegistry.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerRegistry.java
@@ -12,6 +12,7 @@
 import org.crocusgrade.core.port.FormatException;
 import org.crocusgrade.core.port.StoreEntry;
 import org.crocusgrade.core.port.WorkerEntry;
+import org.crocusgrade.daemon.concurrent.Failures;
 import org.crocusgrade.daemon.control.PrefixWatcher;
 import org.crocusgrade.daemon.log.Event;
 
@@ -59,7 +60,10 @@
         return workers;
     }
 
-    /** Reads the list again, so that the registered workers are no older than the call. */
+    /**
+     * Reads the list again, so that the registered workers are no older than the call. Calls
+     * exactly one of the two.
+     */
     void refresh(Runnable then, Consumer<Throwable> onFailure) {
         runtime.store()
                 .list(runtime.format().workerPrefix())
@@ -67,11 +71,12 @@
                 .subscribe()
                 .with(
                         entries ->
-                                runtime.guard(
+                                Failures.guard(
                                         () -> {
                                             onEntries(entries);
                                             then.run();
-                                        }),
+                                        },
+                                        onFailure),
                         onFailure);
     }
 
@@ -88,13 +93,14 @@
         }
         registrations = current;
         workers = Collections.unmodifiableMap(found);
-        onChange.run();
+        runtime.guard(onChange);
     }
 
+    /** Decodes an entry; whatever an entry of another writer causes, the others are still read. */
     private Registration decode(StoreEntry entry) {
         try {
             return new Registration(entry.revision(), Optional.of(runtime.format().worker(entry)));
-        } catch (FormatException e) {
+        } catch (FormatException | RuntimeException | StackOverflowError e) {
             runtime.log().log(Event.RECORD_UNREADABLE, "key", entry.key(), "cause", e);
             return new Registration(entry.revision(), Optional.empty());
         }
--- a/daemon/src/main/java/org/crocusgrade/daemon/concurrent/ControlThread.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/concurrent/ControlThread.java
@@ -37,13 +37,9 @@
         thread.scheduleWithFixedDelay(() -> guard(step), nanos, nanos, TimeUnit.NANOSECONDS);
     }
 
-    /** Runs a step; a runtime exception is logged and not thrown. */
+    /** Runs a step; a failure that the daemon survives is logged and not thrown. */
     public static void guard(Runnable step) {
-        try {
-            step.run();
-        } catch (RuntimeException e) {
-            logger.atSevere().withCause(e).log("control: step failed");
-        }
+        Failures.guard(step, e -> logger.atSevere().withCause(e).log("control: step failed"));
     }
 
     /** Sleeps; returns early, with the interrupt flag set, if the thread is interrupted. */
--- a/daemon/src/main/java/org/crocusgrade/daemon/control/PrefixWatcher.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/control/PrefixWatcher.java
@@ -15,6 +15,7 @@
 import org.crocusgrade.core.port.KeyValueStore;
 import org.crocusgrade.core.port.StoreEntry;
 import org.crocusgrade.core.port.WatchResult;
+import org.crocusgrade.daemon.concurrent.Failures;
 
 /**
  * Maintains a copy of the entries under a prefix: lists them all once, then watches for changes,
@@ -180,16 +181,23 @@
 
     private void publish() {
         if (!stopped) {
-            listener.accept(Map.copyOf(entries));
+            notify(() -> listener.accept(Map.copyOf(entries)));
         }
     }
 
     private void confirm(ClockReading sent) {
         if (!stopped) {
-            confirmed.accept(sent);
+            notify(() -> confirmed.accept(sent));
         }
     }
 
+    /** Calls a listener; its failure must not end the watch. */
+    private void notify(Runnable call) {
+        Failures.guard(
+                call,
+                e -> logger.atSevere().withCause(e).log("watch: listener of %s failed", prefix));
+    }
+
     private void onFailure(Throwable failure) {
         logger.atFine().log(
                 "watch: cannot list or watch prefix %s: %s", prefix, failure.getMessage());
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFormat.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFormat.java
@@ -45,6 +45,9 @@
     /** Begins a configuration that cannot be decoded. */
     static final String MALFORMED = "malformed";
 
+    /** The entry of a worker whose decoding needs more stack than there is. */
+    static final String ENDLESS = "endless";
+
     /** A word of a configuration that has a standby pool. */
     static final String STANDBY = "standby";
 
@@ -65,6 +68,9 @@
 
     @Override
     public WorkerEntry worker(StoreEntry entry) throws FormatException {
+        if (entry.text().equals(ENDLESS)) {
+            throw new StackOverflowError();
+        }
         String[] words = entry.text().split(" ");
         Resources capacity =
                 new Resources(Long.parseLong(words[1]), SimFleet.CAPACITY.memoryMb(), 0);
