--- a/core/src/main/java/org/crocusgrade/core/submission/Resources.java
+++ b/core/src/main/java/org/crocusgrade/core/submission/Resources.java
@@ -15,7 +15,7 @@
         return new Resources(
                 milliCores + other.milliCores,
                 memoryMb + other.memoryMb,
-                accelerators + other.accelerators);
+                saturated((long) accelerators + other.accelerators));
     }
 
     /** Returns the difference; amounts may be negative. */
@@ -23,7 +23,7 @@
         return new Resources(
                 milliCores - other.milliCores,
                 memoryMb - other.memoryMb,
-                accelerators - other.accelerators);
+                saturated((long) accelerators - other.accelerators));
     }
 
     /** Returns the larger of both, for each amount. */
@@ -37,7 +37,11 @@
     /** Returns the sum of several equal amounts. */
     public Resources times(int count) {
         return new Resources(
-                milliCores * count, memoryMb * count, Math.multiplyExact(accelerators, count));
+                milliCores * count, memoryMb * count, saturated((long) accelerators * count));
+    }
+
+    private static int saturated(long amount) {
+        return (int) Math.max(Integer.MIN_VALUE, Math.min(Integer.MAX_VALUE, amount));
     }
 
     /** Returns whether no amount exceeds that of the other. */
--- a/core/src/main/java/org/crocusgrade/core/submission/SubmissionSpec.java
+++ b/core/src/main/java/org/crocusgrade/core/submission/SubmissionSpec.java
@@ -31,7 +31,7 @@
             throw new IllegalArgumentException("a submission needs a step");
         }
         long tasks = steps.stream().mapToLong(StepSpec::tasks).sum();
-        long total = tasks * recurrence.map(Recurrence::times).orElse(1);
+        long total = saturatedProduct(tasks, recurrence.map(Recurrence::times).orElse(1));
         if (total > MAX_TASKS) {
             throw new IllegalArgumentException(total + " tasks, at most " + MAX_TASKS);
         }
@@ -44,6 +44,10 @@
         }
     }
 
+    private static long saturatedProduct(long tasks, int times) {
+        return tasks > Long.MAX_VALUE / times ? Long.MAX_VALUE : tasks * times;
+    }
+
     /** Returns how often the steps run. */
     public int occurrences() {
         return recurrence.map(Recurrence::times).orElse(1);
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -127,7 +127,8 @@
     WorkerStatusMessage status() {
         return WorkerStatusMessage.newBuilder()
                 .setWorker(node.id().value())
-                .setFreeMilliCores((int) Math.max(0, node.free().milliCores()))
+                .setFreeMilliCores(
+                        (int) Math.max(0, Math.min(Integer.MAX_VALUE, node.free().milliCores())))
                 .setRunning(node.placements().size() + node.expectedTasks())
                 .setLongRunning(node.longRunning() + node.expectedTasks())
                 .setEvacuating(node.isEvacuating())
