Start long-running tasks again when they end as done

Cause: a run that ended as done made its task done for good, also in a long-running step.

A long-running task is never done, whether a report or a stored record says so. It starts anew after a pause that grows while its runs are short.

--- a/core/src/main/java/org/crocusgrade/core/schedule/ReportProcessor.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/ReportProcessor.java
@@ -184,6 +184,10 @@
             case DONE -> {
                 worker.recordResult(now);
                 worker.recordSuccess();
+                if (task.step().spec().longRunning()) {
+                    task.restartAfterEnd(placement.map(Placement::orderedNanos), now);
+                    return;
+                }
                 if (!task.isDone()) {
                     placement.ifPresent(p -> recordRunTime(p, now));
                     decideCopy(worker, task, end.run(), now);
--- a/core/src/main/java/org/crocusgrade/core/schedule/Task.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Task.java
@@ -20,6 +20,15 @@
     /** Number of runs at a time of a task whose step allows copies. */
     private static final int MAX_RUNS_WITH_COPY = 2;
 
+    /** A long-running task whose run ends sooner after its order is restarted more slowly. */
+    private static final long SHORT_RUN_NANOS = 3_000_000_000L;
+
+    /** The delay before a long-running task that has ended by itself is started again. */
+    private static final long RESTART_PAUSE_NANOS = 50_000_000L;
+
+    /** Number of short runs beyond which the delay is no longer doubled: it is 1.6 s then. */
+    private static final int MAX_SHORT_RUNS = 5;
+
     private final TrackedStep step;
     private final TaskId id;
     private final SortedSet<Long> failedRuns = new TreeSet<>();
@@ -29,6 +38,7 @@
     private long failedNanos;
     private boolean done;
     private int stalls;
+    private int shortRuns;
     private Optional<WorkerNode> claimedOn = Optional.empty();
     private long lastRun;
     private String checkpoint = "";
@@ -190,6 +200,19 @@
         notBeforeNanos = nanos;
     }
 
+    /**
+     * Lets a long-running task that has ended by itself start anew, without its checkpoint. The
+     * pause before the start doubles while its runs end soon after their start.
+     *
+     * @param orderedNanos when the run was ordered; empty if this owner has not ordered it
+     */
+    void restartAfterEnd(Optional<Long> orderedNanos, long now) {
+        boolean isShort = orderedNanos.map(t -> now - t < SHORT_RUN_NANOS).orElse(false);
+        shortRuns = isShort ? Math.min(shortRuns + 1, MAX_SHORT_RUNS) : 0;
+        checkpoint = "";
+        waitUntil(now + (RESTART_PAUSE_NANOS << shortRuns));
+    }
+
     /** Returns how often a run of the task was stopped because it stalled. */
     int stalls() {
         return stalls;
--- a/core/src/main/java/org/crocusgrade/core/schedule/TrackedStep.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/TrackedStep.java
@@ -66,9 +66,12 @@
         return tasks.size() - done;
     }
 
-    /** Marks a task as done; returns whether it was not done before. */
+    /**
+     * Marks a task as done; returns whether it was not done before. A long-running task is never
+     * done: it is started again however it ends.
+     */
     public boolean complete(Task task) {
-        if (task.isDone()) {
+        if (task.isDone() || spec.longRunning()) {
             return false;
         }
         task.setDone();
--- a/core/src/test/java/org/crocusgrade/core/schedule/LongRunningTasksTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/LongRunningTasksTest.java
@@ -4,11 +4,17 @@
 import static org.crocusgrade.core.schedule.Pool.run;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import org.crocusgrade.core.submission.StepSpec;
+import org.crocusgrade.core.submission.SubmissionState;
 import org.crocusgrade.core.submission.TaskEnd.Result;
 import org.crocusgrade.core.submission.TaskRun;
 import org.junit.jupiter.api.Test;
@@ -17,24 +23,88 @@
 class LongRunningTasksTest {
     private final Pool pool = Pool.settled();
 
+    /** Guards against a service that stays down because its program has ended by itself. */
     @Test
-    void longRunningTaskIsRestartedUnlessDone() {
+    void longRunningTaskIsRestartedHoweverItEnds() {
         WorkerNode worker = pool.worker("w1", "r1");
-        pool.submit(false, new StepBuilder(1, 1000).longRunning(0).build());
+        TrackedSubmission submission =
+                pool.submit(false, new StepBuilder(1, 1000).longRunning(0).build());
         int number = 0;
         for (Result result : Result.values()) {
-            if (result == Result.DONE) {
-                continue;
-            }
             pool.advance(Duration.ofMillis(200));
             List<Placement> starts = pool.startAll();
             assertThat(result.name(), starts, hasSize(1));
             pool.report(worker, end(++number, starts.get(0), result));
+            assertThat(submission.visibleState(), is(SubmissionState.RUNNING));
         }
         pool.advance(Duration.ofMillis(200));
         assertThat(pool.starts(), hasSize(1));
     }
 
+    /** Guards against a busy loop of starts, and against a pause longer than the rules allow. */
+    @Test
+    void longRunningTaskThatEndsAtOnceIsRestartedAfterGrowingPauses() {
+        WorkerNode worker = pool.worker("w1", "r1");
+        pool.submit(false, new StepBuilder(1, 1000).longRunning(0).build());
+        List<Long> pauses = new ArrayList<>();
+        long ended = pool.now();
+        for (int i = 1; i <= 12; i++) {
+            List<Placement> starts = pool.startAll();
+            while (starts.isEmpty()) {
+                assertThat("waits", pool.now() - ended, lessThan(6_000_000_000L));
+                pool.advance(Duration.ofMillis(10));
+                starts = pool.startAll();
+            }
+            pauses.add(Duration.ofNanos(pool.now() - ended).toMillis());
+            pool.advance(Duration.ofMillis(10));
+            pool.report(worker, end(i, starts.get(0), Result.DONE));
+            ended = pool.now();
+        }
+        assertThat(pauses.get(6), greaterThan(4 * pauses.get(2)));
+        assertThat(pauses.get(11), lessThanOrEqualTo(2000L));
+    }
+
+    /** Guards against a task that stays down because an earlier release has stored it as done. */
+    @Test
+    void longRunningTaskThatIsStoredAsDoneIsRestarted() {
+        pool.worker("w1", "r1");
+        TrackedSubmission submission =
+                pool.submit(true, new StepBuilder(1, 1000).longRunning(0).build());
+        TrackedStep step = submission.occurrences().get(0).get(0);
+        assertThat(submission.complete(step, step.tasks().get(0)), is(false));
+        assertThat(submission.isAllDone(), is(false));
+        assertThat(pool.startAll(), hasSize(1));
+    }
+
+    /** Guards against a step that begins because the program of a service before it has ended. */
+    @Test
+    void stepAfterALongRunningOneDoesNotBegin() {
+        WorkerNode worker = pool.worker("w1", "r1");
+        StepSpec service = new StepBuilder(1, 1000).longRunning(0).build();
+        TrackedSubmission submission =
+                pool.submit(false, service, new StepBuilder(1, 1000).after(0).build());
+        Placement start = pool.startAll().get(0);
+        pool.report(worker, end(1, start, Result.DONE));
+        pool.advance(Duration.ofMillis(200));
+        Placement next = pool.startAll().get(0);
+        assertThat(next.task(), is(start.task()));
+        assertThat(submission.outcome(), is(SubmissionState.QUEUED));
+    }
+
+    /** Guards against a task that is started again after its submission was cancelled. */
+    @Test
+    void longRunningTaskThatEndsWhileItIsCancelledStaysDown() {
+        WorkerNode worker = pool.worker("w1", "r1");
+        TrackedSubmission submission =
+                pool.submit(false, new StepBuilder(1, 1000).longRunning(0).build());
+        Placement start = pool.startAll().get(0);
+        pool.scheduler.cancel(submission, pool.wall());
+        pool.report(worker, end(1, start, Result.DONE));
+        pool.advance(Duration.ofSeconds(3));
+        assertThat(pool.startAll(), empty());
+        assertThat(submission.outcome(), is(SubmissionState.CANCELLED));
+    }
+
     @Test
     void evacuatingWorkerLosesLongRunningTasksWithinBudget() {
         WorkerNode leaving = pool.worker("w1", "r1");
