Hold only the occurrences that are due, and bound the memory of a pool

Cause: an owner held an object for each task of each occurrence at once, 6.7 MB a schedule as measured; nothing bounded the sum over submissions; and a daemon out of memory lived on as an owner that did nothing.

Occurrences are now held while they are due and not done. A pool may use an equal part of a quarter of the heap, so that one daemon can take over all; what does not fit is refused at once.

--- a/core/src/main/java/org/crocusgrade/core/schedule/CrashHistory.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/CrashHistory.java
@@ -1,6 +1,7 @@
 package org.crocusgrade.core.schedule;
 
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Objects;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -22,7 +23,7 @@
     /** From this many crashes on, a task is a suspect even if its runs had lasted for a while. */
     private static final int SUSPECT_LIMIT = 2;
 
-    private final SortedMap<Long, Crash> crashes = new TreeMap<>();
+    private SortedMap<Long, Crash> crashes = Collections.emptySortedMap();
 
     /** Returns the crashes, in the order of their runs. */
     public Collection<Crash> crashes() {
@@ -31,7 +32,14 @@
 
     /** Adds a crash, or replaces that of the same run. */
     public void put(Crash crash) {
-        crashes.put(crash.run, crash);
+        writable().put(crash.run, crash);
+    }
+
+    private SortedMap<Long, Crash> writable() {
+        if (crashes.isEmpty()) {
+            crashes = new TreeMap<>();
+        }
+        return crashes;
     }
 
     public boolean isEmpty() {
@@ -53,7 +61,7 @@
 
     /** Adds a crash unless one of the same run is known; returns whether none was. */
     boolean add(Crash crash) {
-        return crashes.putIfAbsent(crash.run, crash) == null;
+        return writable().putIfAbsent(crash.run, crash) == null;
     }
 
     /** Returns whether the crash of the worker of a run is known. */
@@ -63,11 +71,11 @@
 
     /** Removes the crash of the worker of a run, which did not crash; returns whether there was. */
     boolean remove(long run) {
-        return crashes.remove(run) != null;
+        return !crashes.isEmpty() && crashes.remove(run) != null;
     }
 
     void clear() {
-        crashes.clear();
+        crashes = Collections.emptySortedMap();
     }
 
     /** Returns whether the task may be the cause of a crash. */
--- a/core/src/main/java/org/crocusgrade/core/schedule/CrashTracker.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/CrashTracker.java
@@ -57,7 +57,7 @@
 
     /** Adds a submission with the crashes that an earlier owner has stored. */
     void add(TrackedSubmission submission) {
-        for (List<TrackedStep> steps : submission.occurrences()) {
+        for (List<TrackedStep> steps : submission.openOccurrences()) {
             for (TrackedStep step : steps) {
                 step.tasks().stream().filter(t -> !t.crashes().isEmpty()).forEach(this::classify);
             }
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -117,6 +117,11 @@
         copies.setLimits(next);
     }
 
+    /** Sets how much memory the submissions may use; without it, nothing is limited. */
+    public void setHeapShare(HeapShare share) {
+        pool.setHeapShare(share);
+    }
+
     /** Adds a submission that is stored. */
     public void add(TrackedSubmission submission) {
         attempts.remove(submission.id());
@@ -348,6 +353,7 @@
 
     /** Returns the orders to send now. */
     public List<Order> plan(long now, Instant wall) {
+        pool.openDueOccurrences(wall);
         crashes.update(now);
         crashes.takeExhausted().forEach(reports::watchIfExhausted);
         reports.failExhausted(wall);
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolState.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolState.java
@@ -1,5 +1,6 @@
 package org.crocusgrade.core.schedule;
 
+import java.time.Instant;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -29,6 +30,7 @@
     private final Map<CustomerId, CustomerUse> customers = new HashMap<>();
     private final RouteLookup routes;
     private final long runBase;
+    private HeapShare heapShare = HeapShare.UNLIMITED;
     private boolean settled;
 
     /**
@@ -89,6 +91,26 @@
         return routes.route(submission);
     }
 
+    void setHeapShare(HeapShare share) {
+        heapShare = share;
+    }
+
+    /**
+     * Holds the tasks of the occurrences that are due, as far as the memory for them allows. The
+     * first occurrence of each submission that is not done is always held.
+     */
+    void openDueOccurrences(Instant wall) {
+        long openTasks = 0;
+        for (TrackedSubmission submission : active) {
+            openTasks += submission.spec().recurrence().isPresent() ? submission.openTasks() : 0;
+        }
+        for (TrackedSubmission submission : active) {
+            int before = submission.openTasks();
+            submission.openDue(wall, heapShare.maxOpenTasks() - openTasks + before);
+            openTasks += submission.openTasks() - before;
+        }
+    }
+
     Collection<TrackedSubmission> submissions() {
         return submissions.values();
     }
--- a/core/src/main/java/org/crocusgrade/core/schedule/ReportProcessor.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/ReportProcessor.java
@@ -104,7 +104,7 @@
 
     /** Updates or adopts a run that a worker reports; returns false if the run is unwanted. */
     private boolean applyRunning(WorkerNode worker, TaskRun reported, long now) {
-        Optional<Task> found = pool.task(reported.task());
+        Optional<Task> found = task(worker, reported.task());
         if (found.isEmpty()) {
             return false;
         }
@@ -158,7 +158,7 @@
     }
 
     private void applyEnd(WorkerNode worker, TaskEnd end, long now, Instant wall) {
-        Optional<Task> found = pool.task(end.task());
+        Optional<Task> found = task(worker, end.task());
         if (found.isPresent()) {
             Task task = found.get();
             task.recordRun(end.run());
@@ -169,7 +169,12 @@
             saveCheckpoint(task, end.run(), end.checkpoint());
             applyOutcome(worker, task, end, placement, now, wall);
         }
-        worker.recordEnd(end.number(), found.map(t -> t.step().submission()));
+        worker.recordEnd(end.number(), pool.find(end.task().step().submission()));
+    }
+
+    /** Returns a task; one of an occurrence or submission that is over only while it has a run. */
+    private Optional<Task> task(WorkerNode worker, TaskId id) {
+        return pool.task(id).or(() -> worker.placement(id).map(Placement::task));
     }
 
     private void applyOutcome(
@@ -304,7 +309,7 @@
         TrackedStep step = task.step();
         TrackedSubmission submission = step.submission();
         task.waitUntil(now + RETRY_PAUSE_NANOS);
-        if (step.spec().longRunning() || !task.failedRuns().add(run)) {
+        if (step.spec().longRunning() || !task.addFailedRun(run)) {
             return;
         }
         int failed = step.spec().gang() ? step.failGang(run) : task.failedRuns().size();
--- a/core/src/main/java/org/crocusgrade/core/schedule/StartPlanner.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StartPlanner.java
@@ -112,7 +112,7 @@
      */
     static List<TrackedStep> readySteps(TrackedSubmission submission, Instant wall) {
         List<TrackedStep> ready = new ArrayList<>(1);
-        for (List<TrackedStep> steps : submission.occurrences()) {
+        for (List<TrackedStep> steps : submission.openOccurrences()) {
             for (TrackedStep step : steps) {
                 if (!step.isDone() && submission.isReady(step, wall)) {
                     ready.add(step);
--- a/core/src/main/java/org/crocusgrade/core/schedule/Task.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Task.java
@@ -1,6 +1,7 @@
 package org.crocusgrade.core.schedule;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -31,10 +32,11 @@
 
     private final TrackedStep step;
     private final TaskId id;
-    private final SortedSet<Long> failedRuns = new TreeSet<>();
+    // Most tasks never fail, and an owner holds many, so these are created when they are needed.
+    private SortedSet<Long> failedRuns = Collections.emptySortedSet();
     private final CrashHistory crashes = new CrashHistory();
-    private final List<Placement> placements = new ArrayList<>(1);
-    private final Set<WorkerId> failedOn = new HashSet<>();
+    private final List<Placement> placements = new ArrayList<>(0);
+    private Set<WorkerId> failedOn = Set.of();
     private long failedNanos;
     private boolean done;
     private int stalls;
@@ -65,7 +67,15 @@
     }
 
     public SortedSet<Long> failedRuns() {
-        return failedRuns;
+        return Collections.unmodifiableSortedSet(failedRuns);
+    }
+
+    /** Counts a failed run; returns whether it was not counted before. */
+    boolean addFailedRun(long run) {
+        if (failedRuns.isEmpty()) {
+            failedRuns = new TreeSet<>();
+        }
+        return failedRuns.add(run);
     }
 
     /** Returns the runs under which workers have crashed. */
@@ -133,7 +143,7 @@
     /** Restores the stored state of the task. */
     public void restore(Iterable<Long> failed, String saved) {
         for (long run : failed) {
-            failedRuns.add(run);
+            addFailedRun(run);
             if (step.spec().gang()) {
                 step.failGang(run);
             }
@@ -182,6 +192,9 @@
     }
 
     void recordFailureOn(WorkerId worker, long now) {
+        if (failedOn.isEmpty()) {
+            failedOn = new HashSet<>();
+        }
         failedOn.add(worker);
         failedNanos = now;
     }
--- a/core/src/main/java/org/crocusgrade/core/schedule/TrackedSubmission.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/TrackedSubmission.java
@@ -2,11 +2,16 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.NavigableMap;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
 import org.crocusgrade.core.id.CustomerId;
 import org.crocusgrade.core.id.QueueId;
 import org.crocusgrade.core.id.WorkerId;
@@ -23,6 +28,10 @@
  * <p>Each durable change increments {@link #changes()}. An end is reported to callers, and
  * acknowledged to workers, only once {@link #stored()} shows that the store has acknowledged the
  * change.
+ *
+ * <p>A schedule of a year has many occurrences, few of which are due. Only those are held that are
+ * due or have begun, and are not done, so that the memory grows with the work that is due. Tasks of
+ * an ended submission are held only until its end is stored.
  */
 public final class TrackedSubmission {
     /** Number of workers with failed runs that are remembered; more make no difference. */
@@ -37,14 +46,18 @@
     private final Instant accepted;
     private final long acceptedNanos;
     private final boolean inherited;
-    private final List<List<TrackedStep>> occurrences;
+    private final NavigableMap<Integer, List<TrackedStep>> open = new TreeMap<>();
+    private final BitSet doneOccurrences = new BitSet();
+    private int nextOccurrence;
+    private int openTasks;
     private SubmissionState outcome = SubmissionState.QUEUED;
     private SubmissionState storedOutcome = SubmissionState.QUEUED;
     private Optional<Instant> ended = Optional.empty();
     private boolean begun;
     private long changes;
     private long stored;
-    private int openSteps;
+    private long openSteps;
+    private boolean released;
     private long firstAttemptNanos;
     private boolean beyondRate;
     private CustomerUse customerUse = new CustomerUse();
@@ -76,17 +89,50 @@
         this.acceptedNanos = acceptedNanos;
         this.firstAttemptNanos = acceptedNanos;
         this.inherited = inherited;
-        occurrences = new ArrayList<>(spec.occurrences());
-        for (int k = 0; k < spec.occurrences(); k++) {
-            List<TrackedStep> steps = new ArrayList<>(spec.steps().size());
-            for (int s = 0; s < spec.steps().size(); s++) {
-                steps.add(new TrackedStep(this, new StepId(id, k, s), spec.steps().get(s)));
+        openSteps = (long) spec.occurrences() * spec.steps().size();
+        if (spec.recurrence().isEmpty()) {
+            steps(0);
+        }
+    }
+
+    /** Returns the steps of an occurrence that is not done, which is held from then on. */
+    private List<TrackedStep> steps(int occurrence) {
+        List<TrackedStep> held = open.get(occurrence);
+        if (held != null) {
+            return held;
+        }
+        List<TrackedStep> steps = new ArrayList<>(spec.steps().size());
+        for (int s = 0; s < spec.steps().size(); s++) {
+            steps.add(new TrackedStep(this, new StepId(id, occurrence, s), spec.steps().get(s)));
+        }
+        open.put(occurrence, List.copyOf(steps));
+        openTasks += spec.tasksPerOccurrence();
+        return open.get(occurrence);
+    }
+
+    /**
+     * Holds the occurrences that are due, in their order, while it holds fewer than {@code room}
+     * tasks; the first that is not done is held in any case. The others follow when it has ended.
+     */
+    void openDue(Instant wall, long room) {
+        if (spec.recurrence().isEmpty() || outcome.isFinal()) {
+            return;
+        }
+        while (nextOccurrence < spec.occurrences()
+                && !wall.isBefore(spec.recurrence().get().due(nextOccurrence))
+                && (open.isEmpty() || openTasks < room)) {
+            if (!doneOccurrences.get(nextOccurrence)) {
+                steps(nextOccurrence);
             }
-            occurrences.add(List.copyOf(steps));
-            openSteps += steps.size();
+            nextOccurrence++;
         }
     }
 
+    /** Returns how many tasks are held: those of the occurrences that are open. */
+    int openTasks() {
+        return openTasks;
+    }
+
     public SubmissionId id() {
         return id;
     }
@@ -154,20 +200,38 @@
         return inherited;
     }
 
-    /** Returns the steps of each occurrence. */
+    /**
+     * Returns the steps of each occurrence that is held: the only one, or those that are due or
+     * have begun, and are not done.
+     */
     public List<List<TrackedStep>> occurrences() {
-        return occurrences;
+        return List.copyOf(open.values());
+    }
+
+    /** Returns the same without a copy; no occurrence may begin or end while it is used. */
+    Collection<List<TrackedStep>> openOccurrences() {
+        return open.values();
     }
 
-    /** Returns the task with the given id, if the submission has it. */
+    /** Returns the numbers of the occurrences of a recurring submission that are done. */
+    public IntStream doneOccurrences() {
+        return doneOccurrences.stream();
+    }
+
+    /**
+     * Returns the task with the given id, if the submission has it and neither its occurrence nor
+     * the submission is over.
+     */
     public Optional<Task> task(TaskId taskId) {
         StepId step = taskId.step();
-        if (step.occurrence() >= occurrences.size()
+        if (released
+                || doneOccurrences.get(step.occurrence())
+                || step.occurrence() >= spec.occurrences()
                 || step.step() >= spec.steps().size()
                 || taskId.index() >= spec.steps().get(step.step()).tasks()) {
             return Optional.empty();
         }
-        TrackedStep tracked = occurrences.get(step.occurrence()).get(step.step());
+        TrackedStep tracked = steps(step.occurrence()).get(step.step());
         return Optional.of(tracked.tasks().get(taskId.index()));
     }
 
@@ -212,15 +276,24 @@
         stored = Math.max(stored, change);
         if (state.isFinal()) {
             storedOutcome = state;
+            releaseTasks();
         }
     }
 
+    /** Lets go of the tasks: no run is wanted any more, and the record of the end is stored. */
+    private void releaseTasks() {
+        released = true;
+        open.clear();
+        openTasks = 0;
+    }
+
     /** Restores the state stored by an earlier owner. */
     public void restore(SubmissionState state, Optional<Instant> endedAt, boolean hasBegun) {
         if (state.isFinal()) {
             outcome = state;
             storedOutcome = state;
             ended = endedAt;
+            releaseTasks();
         }
         begun |= hasBegun;
     }
@@ -244,10 +317,21 @@
         }
         if (step.isDone()) {
             openSteps--;
+            releaseIfDone(step.id().occurrence());
         }
         return true;
     }
 
+    private void releaseIfDone(int occurrence) {
+        List<TrackedStep> steps = open.get(occurrence);
+        boolean recurs = spec.recurrence().isPresent();
+        if (recurs && steps != null && steps.stream().allMatch(TrackedStep::isDone)) {
+            open.remove(occurrence);
+            openTasks -= spec.tasksPerOccurrence();
+            doneOccurrences.set(occurrence);
+        }
+    }
+
     /** Returns whether the tasks of all steps have completed. */
     public boolean isAllDone() {
         return openSteps == 0;
@@ -283,8 +367,9 @@
         if (spec.recurrence().isPresent() && wall.isBefore(spec.recurrence().get().due(k))) {
             return false;
         }
+        List<TrackedStep> steps = open.get(k);
         for (int before : step.spec().after()) {
-            if (!occurrences.get(k).get(before).isDone()) {
+            if (steps != null && !steps.get(before).isDone()) {
                 return false;
             }
         }
--- a/core/src/main/java/org/crocusgrade/core/schedule/WorkEstimator.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/WorkEstimator.java
@@ -98,7 +98,7 @@
     Work remainingWork(TrackedSubmission submission) {
         double coreMillis = 0;
         double memoryMillis = 0;
-        for (List<TrackedStep> steps : submission.occurrences()) {
+        for (List<TrackedStep> steps : submission.openOccurrences()) {
             for (TrackedStep step : steps) {
                 if (!step.isDone()) {
                     Work work = work(submission.queue(), step.spec(), step.remaining());
@@ -120,7 +120,7 @@
      */
     public double remainingChainMillis(TrackedSubmission submission) {
         double longest = 0;
-        for (List<TrackedStep> steps : submission.occurrences()) {
+        for (List<TrackedStep> steps : submission.openOccurrences()) {
             double[] ends = new double[steps.size()];
             for (int i = 0; i < ends.length; i++) {
                 TrackedStep step = steps.get(i);
--- a/core/src/main/java/org/crocusgrade/core/submission/SubmissionSpec.java
+++ b/core/src/main/java/org/crocusgrade/core/submission/SubmissionSpec.java
@@ -14,8 +14,8 @@
 public record SubmissionSpec(
         String payload, List<StepSpec> steps, Optional<Recurrence> recurrence) {
     /**
-     * Maximum number of tasks in all occurrences. The owner of the pool keeps some hundred bytes
-     * for each, in a heap of 128 MB, and its successor loads them again.
+     * Maximum number of tasks in all occurrences. The progress of each is a part of one record of
+     * the store, which is written with each change.
      */
     public static final int MAX_TASKS = 20_000;
 
@@ -30,7 +30,7 @@
         if (steps.isEmpty()) {
             throw new IllegalArgumentException("a submission needs a step");
         }
-        long tasks = steps.stream().mapToLong(StepSpec::tasks).sum();
+        long tasks = tasks(steps);
         long total = saturatedProduct(tasks, recurrence.map(Recurrence::times).orElse(1));
         if (total > MAX_TASKS) {
             throw new IllegalArgumentException(total + " tasks, at most " + MAX_TASKS);
@@ -48,6 +48,15 @@
         return tasks > Long.MAX_VALUE / times ? Long.MAX_VALUE : tasks * times;
     }
 
+    private static long tasks(List<StepSpec> steps) {
+        return steps.stream().mapToLong(StepSpec::tasks).sum();
+    }
+
+    /** Returns the number of tasks of all steps in one occurrence. */
+    public int tasksPerOccurrence() {
+        return (int) tasks(steps);
+    }
+
     /** Returns how often the steps run. */
     public int occurrences() {
         return recurrence.map(Recurrence::times).orElse(1);
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/OrderLog.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/OrderLog.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.crocusgrade.core.id.ServiceId;
+import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.schedule.Order;
 import org.crocusgrade.core.schedule.Placement;
 import org.crocusgrade.core.schedule.ShareChange;
 import org.crocusgrade.core.schedule.TrackedStep;
+import org.crocusgrade.core.submission.TaskEnd;
 import org.crocusgrade.core.submission.TaskId;
 import org.crocusgrade.daemon.log.Event;
 import org.crocusgrade.daemon.log.EventLog;
@@ -97,4 +99,22 @@
         fields.addAll(List.of(more));
         log.log(event, fields.toArray());
     }
+
+    /** Logs the ends of runs that are listed for the first time. */
+    void onEnds(WorkerId worker, List<TaskEnd> ends, long lastKnownEnd) {
+        for (TaskEnd end : ends) {
+            if (end.number() > lastKnownEnd) {
+                log.log(
+                        Event.RUN_ENDED,
+                        "task",
+                        end.task(),
+                        "run",
+                        end.run(),
+                        "worker",
+                        worker,
+                        "how",
+                        end.result());
+            }
+        }
+    }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PlatformLimits.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PlatformLimits.java
@@ -5,7 +5,7 @@
 import org.crocusgrade.core.customer.CustomerLimits;
 
 /**
- * Limits that the settings of the platform prescribe.
+ * Limits that the settings of the platform and of the process prescribe.
  *
  * @param maxRunLease longest lease of runs that a worker grants
  * @param statusRetention how long callers may request the final state of a submission
@@ -13,6 +13,7 @@
  * @param minStoreLease shortest lease that the store grants
  * @param stopGrace the time between the request to stop and forced termination
  * @param customers limits for customers
+ * @param heapBytes the memory of the process for objects
  */
 public record PlatformLimits(
         Duration maxRunLease,
@@ -20,7 +21,8 @@
         Duration orderSpacing,
         Duration minStoreLease,
         Duration stopGrace,
-        CustomerLimits customers) {
+        CustomerLimits customers,
+        long heapBytes) {
     /** Rejects null fields. */
     public PlatformLimits {
         Objects.requireNonNull(maxRunLease);
@@ -29,5 +31,8 @@
         Objects.requireNonNull(minStoreLease);
         Objects.requireNonNull(stopGrace);
         Objects.requireNonNull(customers);
+        if (heapBytes <= 0) {
+            throw new IllegalArgumentException("no memory for objects: " + heapBytes);
+        }
     }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -26,7 +26,6 @@
 import org.crocusgrade.core.submission.Resources;
 import org.crocusgrade.core.submission.StepId;
 import org.crocusgrade.core.submission.SubmissionId;
-import org.crocusgrade.core.submission.TaskEnd;
 import org.crocusgrade.daemon.batch.SubmissionReply.Outcome;
 import org.crocusgrade.daemon.log.Event;
 import org.crocusgrade.peer.proto.CapGrantMessage;
@@ -141,6 +140,7 @@
     void load(List<TrackedSubmission> stored, Map<SubmissionId, Long> revisions) {
         stored.forEach(scheduler::add);
         revisions.forEach(writer::restore);
+        requests.tick();
         loaded = true;
     }
 
@@ -281,6 +281,7 @@
     /** Handles expired leases and unanswered writes, and plans again because retries may be due. */
     void tick() {
         if (loaded && !stopped) {
+            requests.tick();
             caps.updateCapped();
             poolWorkers.tick();
             writer.tick();
@@ -352,30 +353,12 @@
         long lastKnownEnd = session.node().lastEnd();
         scheduler.onReport(
                 session.node(), requestedNanos, report.running(), report.ends(), now, wall);
-        logEnds(session, report.ends(), lastKnownEnd);
+        orderLog.onEnds(session.node().id(), report.ends(), lastKnownEnd);
         logNotices();
         writer.scheduleFlush();
         schedulePlan();
     }
 
-    private void logEnds(WorkerSession session, List<TaskEnd> ends, long lastKnownEnd) {
-        for (TaskEnd end : ends) {
-            if (end.number() <= lastKnownEnd) {
-                continue;
-            }
-            runtime.log().log(
-                    Event.RUN_ENDED,
-                    "task",
-                    end.task(),
-                    "run",
-                    end.run(),
-                    "worker",
-                    session.node().id(),
-                    "how",
-                    end.result());
-        }
-    }
-
     @Override
     public void onConnectionLost(WorkerSession session) {
         scheduler.onConnectionLost(session.node(), runtime.clock().nanoTime());
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolRequests.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolRequests.java
@@ -15,6 +15,7 @@
 import org.crocusgrade.core.port.StoreEntry;
 import org.crocusgrade.core.schedule.AdmissionDecision;
 import org.crocusgrade.core.schedule.AdmissionRequest;
+import org.crocusgrade.core.schedule.HeapShare;
 import org.crocusgrade.core.schedule.PoolScheduler;
 import org.crocusgrade.core.schedule.TrackedSubmission;
 import org.crocusgrade.core.submission.SubmissionId;
@@ -30,6 +31,9 @@
  * cancellation reported, only once the store has recorded it.
  */
 final class PoolRequests {
+    /** When to retry while the pool's part of the memory is used up, which lasts for long. */
+    private static final Duration MEMORY_RETRY = Duration.ofSeconds(10);
+
     private final BatchRuntime runtime;
     private final ServiceId service;
     private final QueueRegistry queues;
@@ -38,6 +42,8 @@
     private final Runnable schedulePlan;
     private final Map<SubmissionId, Creation> creating = new HashMap<>();
     private final List<Awaiting> awaiting = new ArrayList<>();
+    private long heldBytes;
+    private long creatingBytes;
 
     PoolRequests(
             BatchRuntime runtime,
@@ -95,6 +101,11 @@
             reply.accept(SubmissionReply.of(Outcome.INVALID, e.getMessage()));
             return;
         }
+        HeapShare share = heapShare();
+        if (!share.fits(heldBytes + creatingBytes, spec)) {
+            refuseForMemory(id, spec, share, reply);
+            return;
+        }
         long now = runtime.clock().nanoTime();
         AdmissionRequest request = new AdmissionRequest(id, call.customer(), route.get(), spec);
         AdmissionDecision decision = scheduler.checkAdmission(request, now);
@@ -135,6 +146,7 @@
         Creation creation = new Creation(call.customer(), new ArrayList<>(1));
         creation.waiting.add(r -> created(call, r, reply));
         creating.put(id, creation);
+        creatingBytes += HeapShare.bytes(request.spec());
         writer.create(submission, record, r -> onCreated(submission, r));
     }
 
@@ -155,6 +167,10 @@
                     Math.round(scheduler.poolDemand().backlogCoreMillis()));
             schedulePlan.run();
         }
+        creatingBytes -= HeapShare.bytes(submission.spec());
+        if (result == CreateResult.CREATED) {
+            heldBytes += HeapShare.bytes(submission.spec());
+        }
         creating.remove(submission.id()).waiting.forEach(w -> w.accept(result));
     }
 
@@ -215,6 +231,41 @@
         };
     }
 
+    /** Returns the part of the memory that the pool may use with the configuration in force. */
+    private HeapShare heapShare() {
+        return HeapShare.of(runtime.limits().heapBytes(), queues.table().pools().size());
+    }
+
+    /** Updates what the submissions use, and may use. */
+    void tick() {
+        heldBytes = HeapShare.bytes(scheduler.submissions());
+        scheduler.setHeapShare(heapShare());
+    }
+
+    private void refuseForMemory(
+            SubmissionId id,
+            SubmissionSpec spec,
+            HeapShare share,
+            Consumer<SubmissionReply> reply) {
+        runtime.log().log(
+                Event.SUBMISSION_REFUSED,
+                "id",
+                id,
+                "pool",
+                service,
+                "reason",
+                "memory",
+                "retry-after-s",
+                MEMORY_RETRY.toSeconds(),
+                "held-bytes",
+                heldBytes + creatingBytes,
+                "bytes",
+                HeapShare.bytes(spec),
+                "limit",
+                share.bytes());
+        reply.accept(SubmissionReply.refused(MEMORY_RETRY, "memory"));
+    }
+
     private void refuse(
             SubmissionId id, Consumer<SubmissionReply> reply, Duration retry, String reason) {
         runtime.log().log(
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordCodec.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordCodec.java
@@ -18,6 +18,7 @@
 import org.crocusgrade.core.schedule.TrackedSubmission;
 import org.crocusgrade.core.submission.StepId;
 import org.crocusgrade.core.submission.SubmissionId;
+import org.crocusgrade.core.submission.SubmissionSpec;
 import org.crocusgrade.core.submission.SubmissionState;
 import org.crocusgrade.core.submission.TaskId;
 import org.crocusgrade.peer.proto.StoredCrash;
@@ -81,6 +82,7 @@
         if (submission.outcome().isFinal()) {
             return record.build().toByteArray();
         }
+        submission.doneOccurrences().forEach(k -> addDone(record, submission.spec(), k));
         for (List<TrackedStep> steps : submission.occurrences()) {
             for (TrackedStep step : steps) {
                 addStep(record, step);
@@ -120,6 +122,23 @@
         }
     }
 
+    private static void addDone(
+            StoredProgress.Builder record, SubmissionSpec spec, int occurrence) {
+        for (int i = 0; i < spec.steps().size(); i++) {
+            BitSet done = new BitSet();
+            done.set(0, spec.steps().get(i).tasks());
+            record.addSteps(step(occurrence, i, done));
+        }
+    }
+
+    private static StoredStep step(int occurrence, int step, BitSet done) {
+        return StoredStep.newBuilder()
+                .setOccurrence(occurrence)
+                .setStep(step)
+                .setDone(ByteString.copyFrom(done.toByteArray()))
+                .build();
+    }
+
     private static void addStep(StoredProgress.Builder record, TrackedStep step) {
         BitSet done = new BitSet(step.tasks().size());
         for (Task task : step.tasks()) {
@@ -143,11 +162,7 @@
             record.addTasks(stored);
         }
         if (!done.isEmpty()) {
-            record.addSteps(
-                    StoredStep.newBuilder()
-                            .setOccurrence(step.id().occurrence())
-                            .setStep(step.id().step())
-                            .setDone(ByteString.copyFrom(done.toByteArray())));
+            record.addSteps(step(step.id().occurrence(), step.id().step(), done));
         }
     }
 
