Replay a worker that drains after an unreadable entry

The users' record has starts on workers that had said they drain, beside stack overflows in the logs.

--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/OddEntriesTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/OddEntriesTest.java
@@ -41,6 +41,24 @@
         takeOverAndFinish(fleet);
     }
 
+    /** Guards against starts on a worker that drains, after the registry has stopped (DRAIN). */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "x", SimFormat.ENDLESS})
+    void workerThatDrainsAfterAnUnreadableEntryGetsNoMoreRuns(String odd) {
+        SimFleet fleet = new SimFleet(1);
+        fleet.store.write("servers/odd", bytes(odd));
+        fleet.time.run(500);
+        SimWorker leaving = fleet.workers.values().iterator().next();
+        String draining = leaving.startedEpochMillis() + " " + leaving.milliCores() + " draining";
+        fleet.store.write("servers/" + leaving.id, bytes(draining));
+        for (int i = 0; i < 10; i++) {
+            fleet.submit(60);
+            fleet.time.run(300);
+        }
+        assertThat(fleet.checks.starts(), greaterThan(60));
+        assertThat(leaving.report().running(), empty());
+    }
+
     @Test
     void recordsOfAnotherWriterUnderOurPrefixesDoNotKeepANewOwnerFromLoading() {
         SimFleet fleet = new SimFleet(1);
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFormat.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFormat.java
@@ -31,9 +31,9 @@
 
 /**
  * The format of the simulation's records: the start time of a worker and its processors as text,
- * the number of tasks of a submission as one byte, negative if its tasks may overlap, a
- * configuration as its version and customers such as {@code 2 a=key} or {@code 2 a=key=4}, with a
- * cap of 4 cores (an entry without a number is version 1).
+ * with a third word if it drains; the number of tasks of a submission as one byte, negative if its
+ * tasks may overlap, a configuration as its version and customers such as {@code 2 a=key} or {@code
+ * 2 a=key=4}, with a cap of 4 cores (an entry without a number is version 1).
  */
 final class SimFormat implements PlatformFormat {
     private static final AdvicePolicy ADVICE =
@@ -79,7 +79,7 @@
                 SimFleet.SERVICE,
                 new InetSocketAddress("127.0.0.1", 8000),
                 "zone",
-                false,
+                words.length > 2,
                 Duration.ZERO,
                 Long.parseLong(words[0]),
                 List.of("a", "r1"),
