Take a lease for expired only if no other owner can have extended it

Cause: an owner that is cut off from the store and from a worker acts for 5 s after its last confirmation. The next owner takes over after 2 s and extends the lease of the runs on that worker; the former one sees the end of the lease that it had granted and takes the runs for ended. By the same inference a new owner that was cut off took its pool for settled.

The end of a lease now counts only if the store had confirmed the duty less than its time to live before that end, so that nobody else can have held it.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
@@ -304,7 +304,7 @@
                         service,
                         ownership,
                         queues,
-                        duties::isConfirmedWithin,
+                        duties,
                         advice,
                         reason -> duties.relinquish(ownership.duty(), reason));
         owners.put(service, owner);
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/DaemonLease.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/DaemonLease.java
@@ -20,6 +20,9 @@
      */
     private static final Duration TIME_TO_LIVE = Duration.ofMillis(2000);
 
+    /** By how much the store's clock may have gained on this one during the time to live. */
+    private static final Duration CLOCK_MARGIN = Duration.ofMillis(100);
+
     /**
      * Interval between renewals, in milliseconds: two in a row may fail before the lease expires.
      */
@@ -92,6 +95,15 @@
                 && confirmed.filter(c -> c.isWithin(age, runtime.clock())).isPresent();
     }
 
+    /**
+     * Returns whether the store cannot have ended the lease before a time on the monotonic clock:
+     * it was confirmed by a call made less than its time to live before.
+     */
+    boolean wasHeldAt(long nanos) {
+        long certain = TIME_TO_LIVE.minus(CLOCK_MARGIN).toNanos();
+        return confirmed.filter(c -> c.nanos() + certain - nanos >= 0).isPresent();
+    }
+
     /** Removes the daemon from the list of daemons and stops renewing the lease. */
     void release() {
         stopped = true;
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyManager.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyManager.java
@@ -37,7 +37,7 @@
  * immediately reclaims the duties that the store still records for its former incarnation, because
  * a host runs only one such process at a time.
  */
-final class DutyManager {
+final class DutyManager implements PoolOwner.DutyView {
     /** Delay after a failed call, in milliseconds. */
     private static final long RETRY_MILLIS = 250;
 
@@ -143,10 +143,16 @@
     }
 
     /** Returns whether the store has confirmed this daemon's lease within the given time. */
-    boolean isConfirmedWithin(Duration age) {
+    @Override
+    public boolean isConfirmedWithin(Duration age) {
         return lease.isConfirmedWithin(age);
     }
 
+    @Override
+    public boolean wasHeldAt(long nanos) {
+        return lease.wasHeldAt(nanos);
+    }
+
     /**
      * Ends the ownership of a duty in this process and notifies the listener; the store is not
      * changed.
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -114,7 +114,7 @@
         if (ownership.term() > 1) {
             scheduler.holdEvacuationsUntil(tookOverNanos + FORMER_STOP_DELAY.toNanos());
         }
-        poolWorkers = new PoolWorkers(runtime, service, ownership, scheduler, this);
+        poolWorkers = new PoolWorkers(runtime, service, ownership, scheduler, duty, this);
     }
 
     ServiceId service() {
@@ -478,5 +478,11 @@
     interface DutyView {
         /** Returns whether the store has confirmed the duty within the given time. */
         boolean isConfirmedWithin(Duration age);
+
+        /**
+         * Returns whether no other daemon can have held the duty before a time on the monotonic
+         * clock, in nanoseconds.
+         */
+        boolean wasHeldAt(long nanos);
     }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
@@ -44,6 +44,7 @@
     private final ServiceId service;
     private final DutyOwnership ownership;
     private final PoolScheduler scheduler;
+    private final PoolOwner.DutyView duty;
     private final WorkerSession.Listener listener;
     private final RepeatDelay orderDelay = new RepeatDelay(MAX_REPEAT_DELAY);
     private final Map<WorkerId, WorkerSession> sessions = new TreeMap<>();
@@ -59,11 +60,13 @@
             ServiceId service,
             DutyOwnership ownership,
             PoolScheduler scheduler,
+            PoolOwner.DutyView duty,
             WorkerSession.Listener listener) {
         this.runtime = runtime;
         this.service = service;
         this.ownership = ownership;
         this.scheduler = scheduler;
+        this.duty = duty;
         this.listener = listener;
         tookOverNanos = runtime.clock().nanoTime();
     }
@@ -184,12 +187,21 @@
         settle();
         removeOldIncarnations();
         for (WorkerSession session : List.copyOf(sessions.values())) {
-            if (session.areLeasesExpired()) {
+            if (areLeasesExpired(session)) {
                 onLeasesExpired(session);
             }
         }
     }
 
+    /**
+     * Returns whether the leases of a worker's runs have certainly ended. A worker that this owner
+     * does not reach may be reached by the next one, which extends them, so they count as ended
+     * only if there was no other owner before their end.
+     */
+    private boolean areLeasesExpired(WorkerSession session) {
+        return session.areLeasesExpired() && duty.wasHeldAt(session.leasesEndNanos());
+    }
+
     private void settle() {
         if (scheduler.isSettled()) {
             return;
@@ -199,7 +211,9 @@
                         .anyMatch(s -> s.isInherited() && !s.outcome().isFinal());
         boolean fenced = isAllFenced();
         long age = runtime.clock().nanoTime() - tookOverNanos;
-        if (!inherited || fenced || age > FORMER_LEASE_EXPIRY.toNanos()) {
+        long expiryNanos = tookOverNanos + FORMER_LEASE_EXPIRY.toNanos();
+        boolean expired = age > FORMER_LEASE_EXPIRY.toNanos() && duty.wasHeldAt(expiryNanos);
+        if (!inherited || fenced || expired) {
             scheduler.setSettled();
             runtime.log().log(
                     Event.POOL_SETTLED,
@@ -242,7 +256,10 @@
                     "worker",
                     node.id(),
                     "runs",
-                    node.placements().size());
+                    node.placements().size(),
+                    "ended-ms-ago",
+                    Duration.ofNanos(runtime.clock().nanoTime() - session.leasesEndNanos())
+                            .toMillis());
             scheduler.clearRuns(node);
         }
         if (!session.isRegistered()) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/RunLease.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RunLease.java
@@ -54,11 +54,12 @@
 
     /** Returns whether the lease has certainly ended, unless the worker answers meanwhile. */
     boolean isExpired() {
-        if (!calibrated) {
-            return false;
-        }
+        return calibrated && runtime.clock().nanoTime() - endNanos() > 0;
+    }
+
+    /** Returns when the lease ends at the latest, on the monotonic clock. */
+    long endNanos() {
         double left = (untilMillis - clockMillis) / SLOWEST_CLOCK;
-        long end = clockReadNanos + (long) (left * NANOS_PER_MILLI);
-        return runtime.clock().nanoTime() - end > 0;
+        return clockReadNanos + (long) (left * NANOS_PER_MILLI);
     }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -147,11 +147,16 @@
         return closed;
     }
 
-    /** Returns whether the leases of all runs have certainly ended. */
+    /** Returns whether the leases of all runs have ended, unless another owner extends them. */
     boolean areLeasesExpired() {
         return failures > 0 && lease.isExpired();
     }
 
+    /** Returns when the leases of all runs end at the latest, unless another owner extends them. */
+    long leasesEndNanos() {
+        return lease.endNanos();
+    }
+
     /** Polls immediately if the next poll waits only for listed ends to be stored. */
     void onStored() {
         if (round.isEmpty() && failures == 0 && fenced && node.ackCursor() >= listedEnd) {
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
@@ -81,17 +81,23 @@
     }
 
     SimFleet(long seed, boolean advised, int workerCount, PlatformLimits limits) {
-        this(seed, advised, workerCount, limits, Optional.empty(), 0);
+        this(seed, advised, workerCount, limits, Optional.empty(), 0, TASK_MILLIS);
     }
 
     /** Starts a fleet in which all submissions are of a customer with a cap, in cores. */
     static SimFleet withCap(long seed, int cores) {
-        return new SimFleet(seed, false, WORKERS, TestLimits.USUAL, Optional.of(cores), 0);
+        return new SimFleet(
+                seed, false, WORKERS, TestLimits.USUAL, Optional.of(cores), 0, TASK_MILLIS);
     }
 
     /** Starts a fleet with hosts on standby, in which tasks run until they are stopped. */
     static SimFleet withStandbyHosts(long seed, int hosts) {
-        return new SimFleet(seed, false, WORKERS, TestLimits.USUAL, Optional.empty(), hosts);
+        return new SimFleet(seed, false, WORKERS, TestLimits.USUAL, Optional.empty(), hosts, 0);
+    }
+
+    /** Starts a fleet in which tasks run until they are stopped. */
+    static SimFleet withEndlessTasks(long seed) {
+        return new SimFleet(seed, false, WORKERS, TestLimits.USUAL, Optional.empty(), 0, 0);
     }
 
     private SimFleet(
@@ -100,8 +106,9 @@
             int workerCount,
             PlatformLimits limits,
             Optional<Integer> capCores,
-            int standbyHosts) {
-        taskMillis = standbyHosts > 0 ? 0 : TASK_MILLIS;
+            int standbyHosts,
+            long taskMillis) {
+        this.taskMillis = taskMillis;
         customer = capCores.map(c -> CUSTOMER);
         this.advised = advised;
         this.limits = limits;
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimOrders.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimOrders.java
@@ -3,10 +3,12 @@
 import io.smallrye.mutiny.Uni;
 import io.smallrye.mutiny.subscription.UniEmitter;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.port.OrderException;
@@ -24,6 +26,7 @@
     private final SimTime time;
     private final Random random;
     private final Map<WorkerId, SimWorker> workers;
+    private final Set<WorkerId> cut = new HashSet<>();
     private double lateShare;
     private Optional<SimLoop> loop = Optional.empty();
     private long passNanos;
@@ -34,6 +37,12 @@
         this.workers = workers;
     }
 
+    /** Sets the workers that this daemon does not reach; nothing of either arrives. */
+    void setCut(Set<WorkerId> unreachable) {
+        cut.clear();
+        cut.addAll(unreachable);
+    }
+
     /** Sets the share of orders that get no answer and are executed 2 to 12 s later. */
     void setLateShare(double share) {
         lateShare = share;
@@ -102,7 +111,7 @@
                                 if (!answered[0]) {
                                     answered[0] = true;
                                     WorkerReport report = worker.report();
-                                    if (!worker.isUnresponsive()) {
+                                    if (!worker.isUnresponsive() && !cut.contains(worker.id)) {
                                         answerLater(() -> e.complete(report));
                                     }
                                 }
@@ -164,7 +173,7 @@
                         time.afterMillis(
                                 timeoutMillis,
                                 () -> emitter.fail(new OrderException(kind, "silent")));
-        if (worker == null) {
+        if (worker == null || cut.contains(worker.id)) {
             fail.accept(Kind.NOT_SENT);
             return;
         }
