--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/PartitionTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/PartitionTest.java
@@ -6,9 +6,12 @@
 import static org.hamcrest.Matchers.not;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
+import java.util.stream.LongStream;
 import org.crocusgrade.core.id.WorkerId;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -17,6 +20,8 @@
  */
 class PartitionTest {
     private static final int PHASES = 16;
+    private static final int SEEDS = 20;
+    private static final int ROUNDS = 20;
     private static final long PHASE_MILLIS = 100;
 
     /** The owner is cut off from the store, the other daemons and all workers but an idle one. */
@@ -71,6 +76,55 @@
         assertThat(fleet.holder().name, is(not(second.name)));
     }
 
+    /** Partitions of all kinds, beside the loss of owners; one seed is one day. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void partitionsInSeriesStartNoTaskTwice(long seed) {
+        SimFleet fleet = new SimFleet(seed);
+        for (int round = 0; round < ROUNDS; round++) {
+            fleet.submit(4 + fleet.random.nextInt(8));
+            if (fleet.random.nextInt(3) == 0) {
+                partition(fleet);
+            }
+            if (fleet.random.nextInt(6) == 0) {
+                killAndRestart(fleet, fleet.holder());
+            }
+            fleet.time.run(500 + fleet.random.nextInt(1000));
+        }
+        fleet.time.run(12_000);
+        heal(fleet);
+        fleet.time.run(40_000);
+        assertThat("seed " + seed, fleet.checks.violations(), empty());
+        assertThat("seed " + seed, fleet.unfinished(), empty());
+    }
+
+    private static void killAndRestart(SimFleet fleet, SimFleet.Daemon lost) {
+        fleet.kill(lost.name);
+        fleet.time.afterMillis(
+                1000 + fleet.random.nextInt(2000),
+                () -> {
+                    if (fleet.daemons.get(lost.name) == lost) {
+                        fleet.boot(lost.name);
+                    }
+                });
+    }
+
+    static List<Long> seeds() {
+        long last = Long.getLong("sim.last", SEEDS);
+        return LongStream.rangeClosed(Long.getLong("sim.first", 1), last).boxed().toList();
+    }
+
+    private static void partition(SimFleet fleet) {
+        Set<WorkerId> workers = new HashSet<>();
+        for (WorkerId worker : fleet.workers.keySet()) {
+            if (fleet.random.nextBoolean()) {
+                workers.add(worker);
+            }
+        }
+        cut(fleet, fleet.holder(), workers);
+        fleet.time.afterMillis(1000 + fleet.random.nextInt(9000), () -> heal(fleet));
+    }
+
     /** Splits the fleet: one daemon with the given workers, and all others with the store. */
     private static void cut(SimFleet fleet, SimFleet.Daemon daemon, Set<WorkerId> workers) {
         for (SimFleet.Daemon other : fleet.daemons.values()) {
