Never give a long-running task up because its workers have crashed

Cause: the limits for tasks that crash their workers were applied to all steps alike. A long-running task is restarted however it ends.

It is now started again, in isolation while it may be the cause, so that its crashes cost no neighbour that has just begun.

--- a/core/src/main/java/org/crocusgrade/core/schedule/CrashHistory.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/CrashHistory.java
@@ -20,6 +20,9 @@
     /** The same with the isolated runs of which nothing is known. */
     private static final int LIMIT = 5;
 
+    /** Number of crashes that are kept and stored: more of them decide nothing. */
+    private static final int MAX_KEPT = 8;
+
     /** From this many crashes on, a task is a suspect even if its runs had lasted for a while. */
     private static final int SUSPECT_LIMIT = 2;
 
@@ -61,7 +64,11 @@
 
     /** Adds a crash unless one of the same run is known; returns whether none was. */
     boolean add(Crash crash) {
-        return writable().putIfAbsent(crash.run, crash) == null;
+        boolean added = writable().putIfAbsent(crash.run, crash) == null;
+        if (crashes.size() > MAX_KEPT) {
+            crashes.remove(crashes.firstKey());
+        }
+        return added;
     }
 
     /** Returns whether the crash of the worker of a run is known. */
--- a/core/src/main/java/org/crocusgrade/core/schedule/Task.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Task.java
@@ -283,12 +283,13 @@
 
     /**
      * Returns whether all attempts have failed while a copy was left, or too many workers have
-     * crashed. The submission fails once no run is left.
+     * crashed. The submission fails once no run is left. A long-running task is started again
+     * however it ends, and only in isolation while it may be the cause of crashes.
      */
     boolean isExhausted() {
         boolean hasFailed =
                 step.allowsCopies() && failedRuns.size() >= step.submission().maxAttempts();
-        return hasFailed || crashes.isLimitReached();
+        return hasFailed || !step.spec().longRunning() && crashes.isLimitReached();
     }
 
     private boolean isPaused(long now) {
