Let the next incarnation of a worker reject starts sent to the last one

Cause: an order was forgotten once its repetition had been answered; the next incarnation was told only of starts of open tasks, for 6 s, while a call may be carried out 12 s late.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/OrderSender.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/OrderSender.java
@@ -80,6 +80,11 @@
                                 onStarted(placement, reply, repeated);
                             }
 
+                            @Override
+                            public void onUnanswered(long lastSentNanos) {
+                                listener.onStartUnanswered(placement, lastSentNanos);
+                            }
+
                             @Override
                             public void onFailure(Throwable failure, boolean mayHaveArrived) {
                                 onStartFailure(placement, failure, mayHaveArrived);
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -397,6 +397,11 @@
         schedulePlan();
     }
 
+    @Override
+    public void onStartUnanswered(Placement placement, long sentNanos) {
+        poolWorkers.onStartUnanswered(placement, sentNanos);
+    }
+
     @Override
     public void onStopAnswer(Placement placement, boolean answered) {
         scheduler.onStopAnswer(placement, answered, runtime.clock().nanoTime());
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
@@ -13,10 +13,13 @@
 import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.port.WorkerEntry;
 import org.crocusgrade.core.schedule.Order;
+import org.crocusgrade.core.schedule.Placement;
 import org.crocusgrade.core.schedule.PoolScheduler;
 import org.crocusgrade.core.schedule.RepeatDelay;
+import org.crocusgrade.core.schedule.StopReason;
 import org.crocusgrade.core.schedule.WorkerNode;
 import org.crocusgrade.core.submission.Resources;
+import org.crocusgrade.daemon.batch.LateStarts.LateStart;
 import org.crocusgrade.daemon.log.Event;
 
 /**
@@ -32,8 +35,8 @@
             PoolOwner.MAX_CONFIRMATION_AGE.plusMillis(5000);
 
     /**
-     * How long an order to one incarnation of a worker may be in transit and reach the next one
-     * instead.
+     * How long a start of a task that is open, sent to one incarnation of a worker, blocks the task
+     * while the next one has not registered.
      */
     private static final Duration MAX_ORDER_DELAY = Duration.ofSeconds(6);
 
@@ -46,6 +49,7 @@
     private final PoolScheduler scheduler;
     private final PoolOwner.DutyView duty;
     private final WorkerSession.Listener listener;
+    private final LateStarts lateStarts = new LateStarts();
     private final RepeatDelay orderDelay = new RepeatDelay(MAX_REPEAT_DELAY);
     private final Map<WorkerId, WorkerSession> sessions = new TreeMap<>();
     private final Map<WorkerId, EndedIncarnation> endedIncarnations = new HashMap<>();
@@ -168,9 +172,51 @@
                 "cores",
                 entry.capacity().milliCores());
         session.start();
+        rejectLateStarts(session);
         return session;
     }
 
+    /** Records a start without an answer, which the worker may carry out later. */
+    void onStartUnanswered(Placement placement, long sentNanos) {
+        WorkerId worker = placement.worker().id();
+        lateStarts.add(worker, placement.task().id(), placement.run(), sentNanos);
+    }
+
+    /**
+     * Tells an incarnation of a worker to reject the starts that were sent to the one before. The
+     * runs that it may be executing for this owner are left to the reports.
+     */
+    private void rejectLateStarts(WorkerSession session) {
+        WorkerNode node = session.node();
+        for (LateStart late : lateStarts.of(node.id(), runtime.clock().nanoTime())) {
+            boolean mayBeActive =
+                    node.placements().stream()
+                            .anyMatch(
+                                    p ->
+                                            p.task().id().equals(late.task())
+                                                    && p.run() == late.run());
+            if (!mayBeActive) {
+                runtime.log().log(
+                        Event.RUN_STOPPED,
+                        "task",
+                        late.task(),
+                        "run",
+                        late.run(),
+                        "worker",
+                        node.id(),
+                        "reason",
+                        "late-start");
+                session.send(
+                        new Order.Stop(
+                                node,
+                                late.task(),
+                                late.run(),
+                                Optional.empty(),
+                                StopReason.UNWANTED));
+            }
+        }
+    }
+
     /** Sets the workers to evacuate; workers missing from the set accept runs again. */
     void evacuate(Set<WorkerId> workers) {
         evacuating = workers;
@@ -185,6 +231,7 @@
      */
     void tick() {
         settle();
+        lateStarts.removeOld(runtime.clock().nanoTime());
         removeOldIncarnations();
         for (WorkerSession session : List.copyOf(sessions.values())) {
             if (areLeasesExpired(session)) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/RepeatedOrder.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RepeatedOrder.java
@@ -24,6 +24,7 @@
     private final Result<T> result;
     private final List<Cancellable> calls = new ArrayList<>(2);
     private int open;
+    private long lastSentNanos;
     private boolean mayHaveArrived;
     private boolean ended;
 
@@ -58,6 +59,7 @@
 
     private void sendOnce() {
         long sentNanos = runtime.clock().nanoTime();
+        lastSentNanos = sentNanos;
         open++;
         calls.add(
                 call.get()
@@ -73,9 +75,17 @@
         delay.answeredAfter(Duration.ofNanos(runtime.clock().nanoTime() - sentNanos));
         ended = true;
         calls.forEach(Cancellable::cancel);
+        reportUnanswered(open > 1);
         result.onAnswer(answer, calls.size() > 1);
     }
 
+    /** Reports that a call has got no answer, so that the worker may carry it out later. */
+    private void reportUnanswered(boolean hasOpenCall) {
+        if (hasOpenCall || mayHaveArrived) {
+            result.onUnanswered(lastSentNanos);
+        }
+    }
+
     private void onFailure(Throwable failure) {
         open--;
         mayHaveArrived |=
@@ -86,6 +96,7 @@
             return;
         }
         ended = true;
+        reportUnanswered(false);
         result.onFailure(failure, mayHaveArrived);
     }
 
@@ -98,6 +109,13 @@
          */
         void onAnswer(T answer, boolean repeated);
 
+        /**
+         * Called when the order ends while a call for it has got no answer.
+         *
+         * @param lastSentNanos when it was last sent, on the monotonic clock
+         */
+        default void onUnanswered(long lastSentNanos) {}
+
         /** Called when no answer came; {@code mayHaveArrived} if the worker may have the order. */
         void onFailure(Throwable failure, boolean mayHaveArrived);
     }
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimOrders.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimOrders.java
@@ -28,6 +28,7 @@
     private final Map<WorkerId, SimWorker> workers;
     private final Set<WorkerId> cut = new HashSet<>();
     private double lateShare;
+    private boolean inTransit;
     private Optional<SimLoop> loop = Optional.empty();
     private long passNanos;
 
@@ -48,6 +49,11 @@
         lateShare = share;
     }
 
+    /** Lets late orders reach the next incarnation of their worker. */
+    void setLateInTransit() {
+        inTransit = true;
+    }
+
     /**
      * Lets each call use processor time of the loop of its sender: once to connect, once to send
      * and once to read the answer. The time-out of a call does not wait for these.
@@ -185,7 +191,8 @@
             time.afterMillis(
                     2000 + random.nextInt(10_000),
                     () -> {
-                        if (worker.incarnation() == incarnation && !worker.isDown()) {
+                        boolean reaches = inTransit || worker.incarnation() == incarnation;
+                        if (reaches && !worker.isDown()) {
                             action.execute(worker, new DiscardingEmitter<>(emitter).emitter());
                         }
                     });
