Refuse for good what exceeds a pool's memory, and add it up once a second

A submission that is larger than its pool's part of the memory was told to come back, although it can never be accepted; MemoryLimitTest has the case. The sum over all submissions was taken ten times a second.

--- a/core/src/main/java/org/crocusgrade/core/submission/SubmissionSpec.java
+++ b/core/src/main/java/org/crocusgrade/core/submission/SubmissionSpec.java
@@ -49,7 +49,11 @@
     }
 
     private static long tasks(List<StepSpec> steps) {
-        return steps.stream().mapToLong(StepSpec::tasks).sum();
+        long sum = 0;
+        for (StepSpec step : steps) {
+            sum += step.tasks();
+        }
+        return sum;
     }
 
     /** Returns the number of tasks of all steps in one occurrence. */
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolRequests.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolRequests.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.crocusgrade.core.config.QueueRoute;
 import org.crocusgrade.core.id.CustomerId;
@@ -34,6 +35,9 @@
     /** When to retry while the pool's part of the memory is used up, which lasts for long. */
     private static final Duration MEMORY_RETRY = Duration.ofSeconds(10);
 
+    /** How often the memory that the submissions use is added up anew. */
+    private static final Duration MEASURE_INTERVAL = Duration.ofSeconds(1);
+
     private final BatchRuntime runtime;
     private final ServiceId service;
     private final QueueRegistry queues;
@@ -42,6 +46,7 @@
     private final Runnable schedulePlan;
     private final Map<SubmissionId, Creation> creating = new HashMap<>();
     private final List<Awaiting> awaiting = new ArrayList<>();
+    private OptionalLong measuredNanos = OptionalLong.empty();
     private long heldBytes;
     private long creatingBytes;
 
@@ -102,6 +107,11 @@
             return;
         }
         HeapShare share = heapShare();
+        if (!share.fits(0, spec)) {
+            String reason = HeapShare.bytes(spec) + " bytes, at most " + share.bytes();
+            reply.accept(SubmissionReply.of(Outcome.INVALID, reason));
+            return;
+        }
         if (!share.fits(heldBytes + creatingBytes, spec)) {
             refuseForMemory(id, spec, share, reply);
             return;
@@ -236,8 +246,14 @@
         return HeapShare.of(runtime.limits().heapBytes(), queues.table().pools().size());
     }
 
-    /** Updates what the submissions use, and may use. */
+    /** Updates what the submissions use, and may use; between updates the sum only grows. */
     void tick() {
+        long now = runtime.clock().nanoTime();
+        if (measuredNanos.isPresent()
+                && now - measuredNanos.getAsLong() < MEASURE_INTERVAL.toNanos()) {
+            return;
+        }
+        measuredNanos = OptionalLong.of(now);
         heldBytes = HeapShare.bytes(scheduler.submissions());
         scheduler.setHeapShare(heapShare());
     }
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/MemoryLimitTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/MemoryLimitTest.java
@@ -69,6 +69,18 @@
         assertThat(fleet.checks.violations(), empty());
     }
 
+    /** Guards against a caller that is told to come back with what can never be accepted. */
+    @Test
+    void submissionThatIsLargerThanTheMemoryOfThePoolIsInvalid() {
+        SimFleet fleet = new SimFleet(1, false, 4, TestLimits.LITTLE_MEMORY);
+        List<SubmissionReply> replies = new ArrayList<>();
+        SubmissionId id = fleet.nextId();
+        fleet.checks.attempted(id);
+        fleet.holder().call(Operation.SUBMIT, id, new byte[] {127}, replies::add);
+        fleet.time.run(100);
+        assertThat(replies.get(0).outcome(), is(Outcome.INVALID));
+    }
+
     /** The record of an occurrence that is done stays readable for earlier releases. */
     @Test
     void doneOccurrencesAreStoredAndRestored() throws Exception {
