--- a/core/src/main/java/org/crocusgrade/core/schedule/HeapShare.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/HeapShare.java
@@ -7,9 +7,10 @@
  * The part of a daemon's memory that the submissions of one pool may use.
  *
  * <p>A daemon may have to take over all pools at once, so each pool gets an equal part of what one
- * daemon has for submissions, whoever owns it. One half is for accepted submissions, each with the
- * tasks of one occurrence; a submission that does not fit is refused. The other half is for the
- * tasks of further occurrences that are due; those that do not fit wait until others are done.
+ * daemon has for submissions, whoever owns it. The part is counted twice: once for accepted
+ * submissions, each with the tasks of one occurrence, and a submission that does not fit is
+ * refused; and once for the tasks of further occurrences that are due, and those that do not fit
+ * wait until others are done.
  *
  * <p>For example, of a heap of 128 MB a quarter is for accepted submissions. With five pools, a
  * pool may hold 6.7 MB of them: 3,700 schedules of 200 bytes with one step, or 33,000 tasks that
--- a/daemon/src/main/java/org/crocusgrade/daemon/control/PrefixWatcher.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/control/PrefixWatcher.java
@@ -181,18 +181,18 @@
 
     private void publish() {
         if (!stopped) {
-            notify(() -> listener.accept(Map.copyOf(entries)));
+            callListener(() -> listener.accept(Map.copyOf(entries)));
         }
     }
 
     private void confirm(ClockReading sent) {
         if (!stopped) {
-            notify(() -> confirmed.accept(sent));
+            callListener(() -> confirmed.accept(sent));
         }
     }
 
     /** Calls a listener; its failure must not end the watch. */
-    private void notify(Runnable call) {
+    private void callListener(Runnable call) {
         Failures.guard(
                 call,
                 e -> logger.atSevere().withCause(e).log("watch: listener of %s failed", prefix));
