--- a/core/src/main/java/org/crocusgrade/core/schedule/HeapShare.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/HeapShare.java
@@ -13,8 +13,8 @@
  * wait until others are done.
  *
  * <p>For example, of a heap of 128 MB a quarter is for accepted submissions. With five pools, a
- * pool may hold 6.7 MB of them: 3,700 schedules of 200 bytes with one step, or 33,000 tasks that
- * wait.
+ * pool may hold 6.7 MB of them: 1,458 schedules with a text of 200 characters and one step of 12
+ * tasks, or 33 submissions of 1,000 tasks.
  *
  * @param bytes for accepted submissions, and again for further occurrences
  */
--- a/core/src/main/java/org/crocusgrade/core/schedule/TrackedSubmission.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/TrackedSubmission.java
@@ -57,7 +57,6 @@
     private long changes;
     private long stored;
     private long openSteps;
-    private boolean released;
     private long firstAttemptNanos;
     private boolean beyondRate;
     private CustomerUse customerUse = new CustomerUse();
@@ -98,16 +97,20 @@
     /** Returns the steps of an occurrence that is not done, which is held from then on. */
     private List<TrackedStep> steps(int occurrence) {
         List<TrackedStep> held = open.get(occurrence);
-        if (held != null) {
-            return held;
+        if (held == null) {
+            held = newSteps(occurrence);
+            open.put(occurrence, held);
+            openTasks += spec.tasksPerOccurrence();
         }
+        return held;
+    }
+
+    private List<TrackedStep> newSteps(int occurrence) {
         List<TrackedStep> steps = new ArrayList<>(spec.steps().size());
         for (int s = 0; s < spec.steps().size(); s++) {
             steps.add(new TrackedStep(this, new StepId(id, occurrence, s), spec.steps().get(s)));
         }
-        open.put(occurrence, List.copyOf(steps));
-        openTasks += spec.tasksPerOccurrence();
-        return open.get(occurrence);
+        return List.copyOf(steps);
     }
 
     /**
@@ -224,7 +227,7 @@
      */
     public Optional<Task> task(TaskId taskId) {
         StepId step = taskId.step();
-        if (released
+        if (storedOutcome.isFinal()
                 || doneOccurrences.get(step.occurrence())
                 || step.occurrence() >= spec.occurrences()
                 || step.step() >= spec.steps().size()
@@ -282,7 +285,6 @@
 
     /** Lets go of the tasks: no run is wanted any more, and the record of the end is stored. */
     private void releaseTasks() {
-        released = true;
         open.clear();
         openTasks = 0;
     }
--- a/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
@@ -365,7 +365,8 @@
         return labels.contains(label);
     }
 
-    Optional<Placement> placement(TaskId task) {
+    /** Returns the run of a task that may be active here. */
+    public Optional<Placement> placement(TaskId task) {
         return Optional.ofNullable(placements.get(task));
     }
 
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolRequests.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolRequests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -263,53 +264,26 @@
             SubmissionSpec spec,
             HeapShare share,
             Consumer<SubmissionReply> reply) {
-        runtime.log().log(
-                Event.SUBMISSION_REFUSED,
-                "id",
+        refuse(
                 id,
-                "pool",
-                service,
-                "reason",
+                reply,
+                MEMORY_RETRY,
                 "memory",
-                "retry-after-s",
-                MEMORY_RETRY.toSeconds(),
                 "held-bytes",
                 heldBytes + creatingBytes,
                 "bytes",
                 HeapShare.bytes(spec),
                 "limit",
                 share.bytes());
-        reply.accept(SubmissionReply.refused(MEMORY_RETRY, "memory"));
-    }
-
-    private void refuse(
-            SubmissionId id, Consumer<SubmissionReply> reply, Duration retry, String reason) {
-        runtime.log().log(
-                Event.SUBMISSION_REFUSED,
-                "id",
-                id,
-                "pool",
-                service,
-                "reason",
-                reason,
-                "retry-after-s",
-                retry.toSeconds());
-        reply.accept(SubmissionReply.refused(retry, reason));
     }
 
     private void refuse(
             AdmissionRequest request, AdmissionDecision decision, Consumer<SubmissionReply> reply) {
-        Duration retry = decision.retryAfter().orElseThrow();
-        runtime.log().log(
-                Event.SUBMISSION_REFUSED,
-                "id",
+        refuse(
                 request.id(),
-                "pool",
-                service,
-                "reason",
+                reply,
+                decision.retryAfter().orElseThrow(),
                 "backlog",
-                "retry-after-s",
-                retry.toSeconds(),
                 "ahead-core-ms",
                 Math.round(decision.coreMillisAhead()),
                 "ahead-mb-ms",
@@ -326,7 +300,25 @@
                 decision.beyondRate(),
                 "customer",
                 request.customer().map(CustomerId::value).orElse("none"));
-        reply.accept(SubmissionReply.refused(retry, "backlog"));
+    }
+
+    /**
+     * Refuses a submission.
+     *
+     * @param inputs what the decision rests on, as keys and values for the log
+     */
+    private void refuse(
+            SubmissionId id,
+            Consumer<SubmissionReply> reply,
+            Duration retry,
+            String reason,
+            Object... inputs) {
+        List<Object> entry = new ArrayList<>();
+        Collections.addAll(entry, "id", id, "pool", service, "reason", reason);
+        Collections.addAll(entry, "retry-after-s", retry.toSeconds());
+        Collections.addAll(entry, inputs);
+        runtime.log().log(Event.SUBMISSION_REFUSED, entry.toArray());
+        reply.accept(SubmissionReply.refused(retry, reason));
     }
 
     private SubmissionReply state(SubmissionCall call) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
@@ -189,13 +189,7 @@
     private void rejectLateStarts(WorkerSession session) {
         WorkerNode node = session.node();
         for (LateStart late : lateStarts.of(node.id(), runtime.clock().nanoTime())) {
-            boolean mayBeActive =
-                    node.placements().stream()
-                            .anyMatch(
-                                    p ->
-                                            p.task().id().equals(late.task())
-                                                    && p.run() == late.run());
-            if (!mayBeActive) {
+            if (node.placement(late.task()).filter(p -> p.run() == late.run()).isEmpty()) {
                 runtime.log().log(
                         Event.RUN_STOPPED,
                         "task",
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/PartitionTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/PartitionTest.java
@@ -33,12 +33,7 @@
             fleet.submitLongRunning(3, 1);
             fleet.time.run(2000 + phase * PHASE_MILLIS);
             SimFleet.Daemon former = fleet.holder();
-            SimWorker idle =
-                    fleet.workers.values().stream()
-                            .filter(w -> w.report().running().isEmpty())
-                            .findFirst()
-                            .orElseThrow();
-            cut(fleet, former, Set.of(idle.id));
+            cut(fleet, former, Set.of(idleWorker(fleet)));
             fleet.time.run(cutMillis);
             assertThat("phase " + phase, fleet.checks.violations(), empty());
             heal(fleet);
@@ -62,12 +57,7 @@
             second = fleet.holder();
         }
         fleet.time.run(afterMillis);
-        SimWorker idle =
-                fleet.workers.values().stream()
-                        .filter(w -> w.report().running().isEmpty())
-                        .findFirst()
-                        .orElseThrow();
-        cut(fleet, second, Set.of(idle.id));
+        cut(fleet, second, Set.of(idleWorker(fleet)));
         fleet.time.run(20_000);
         assertThat(fleet.checks.violations(), empty());
         heal(fleet);
@@ -125,6 +115,14 @@
         fleet.time.afterMillis(1000 + fleet.random.nextInt(9000), () -> heal(fleet));
     }
 
+    private static WorkerId idleWorker(SimFleet fleet) {
+        return fleet.workers.values().stream()
+                .filter(w -> w.report().running().isEmpty())
+                .map(w -> w.id)
+                .findFirst()
+                .orElseThrow();
+    }
+
     /** Splits the fleet: one daemon with the given workers, and all others with the store. */
     private static void cut(SimFleet fleet, SimFleet.Daemon daemon, Set<WorkerId> workers) {
         for (SimFleet.Daemon other : fleet.daemons.values()) {
