Review case 6: count the ends of processes by machine

The case now also fails by the rule on processes that end by themselves, so that it does not depend on the moment at which a daemon answers between two ends.

--- a/review/standin-2/OutOfMemory.java
+++ b/review/standin-2/OutOfMemory.java
@@ -3,8 +3,8 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /** A daemon is killed while the system holds about as many submissions as it accepts. */
 final class OutOfMemory {
@@ -49,7 +49,7 @@
             client.join();
         }
         bed.record(accepted.size() + " submissions were answered with 200");
-        AtomicInteger ownEnds = new AtomicInteger();
+        Map<String, Integer> ownEnds = new ConcurrentHashMap<>();
         AtomicBoolean over = new AtomicBoolean();
         Bed.Daemon victim = bed.owner("s1");
         long killed = bed.now();
@@ -74,7 +74,12 @@
         bed.record("from " + (killed + FINISH_MILLIS) + " ms to " + bed.now() + " ms, " + asked
                 + " accepted submissions were asked for at three daemons each: " + unanswered
                 + " got no state");
-        bed.record("processes that ended by themselves: " + ownEnds.get());
+        bed.record("processes that ended by themselves, by machine: " + ownEnds);
+        long faulty =
+                ownEnds.entrySet().stream()
+                        .filter(e -> !e.getKey().equals(victim.name) && e.getValue() >= 3)
+                        .count();
+        bed.record(faulty + " machines that nobody disturbed had three such ends or more");
         over.set(true);
         platform.join();
         for (Bed.Daemon daemon : daemons) {
@@ -88,7 +93,7 @@
                 bed.record(daemon.name + " wrote " + ends.size() + " times: " + ends.get(0));
             }
         }
-        bed.finish(unanswered > 0);
+        bed.finish(unanswered > 0 || faulty >= 2);
     }
 
     private static void fill(List<Bed.Daemon> daemons, int number, List<String[]> accepted) {
@@ -114,8 +119,8 @@
 
     /** Starts each process that has ended again after a short delay, as the platform does. */
     private static void restart(
-            Bed bed, List<Bed.Daemon> daemons, Bed.Daemon victim, AtomicInteger ownEnds,
-            AtomicBoolean over) {
+            Bed bed, List<Bed.Daemon> daemons, Bed.Daemon victim,
+            Map<String, Integer> ownEnds, AtomicBoolean over) {
         try {
             boolean killed = bed.trouble;
             while (!over.get()) {
@@ -126,7 +131,7 @@
                     if (killed && daemon == victim) {
                         killed = false;
                     } else {
-                        ownEnds.incrementAndGet();
+                        ownEnds.merge(daemon.name, 1, Integer::sum);
                         bed.record(
                                 "daemon " + daemon.name + " has ended by itself with "
                                         + daemon.process.exitValue());
