--- a/review/standin-2/WrongReply.java
+++ b/review/standin-2/WrongReply.java
@@ -54,9 +54,10 @@
         String[] seen = {""};
         Thread second = new Thread(() -> seen[0] = other.state("lots", LONG));
         second.start();
-        Thread.sleep(Math.max(100, begin + 1500 - bed.now()));
+        Thread.sleep(150);
         if (bed.trouble) {
             owner.signal("CONT");
+            bed.record("frozen for " + (bed.now() - begin) + " ms");
         }
         second.join();
         first.join();
