--- a/review/standin-2/Worker.java
+++ b/review/standin-2/Worker.java
@@ -25,7 +25,22 @@
         }
     }
 
-    private record End(long number, String task, long run, String how) {
+    private static final class End {
+        final long number;
+        final String task;
+        final long run;
+        final String how;
+
+        /** Whether the lease has lapsed since: then it is no longer taken note of. */
+        boolean lapsed;
+
+        End(long number, String task, long run, String how) {
+            this.number = number;
+            this.task = task;
+            this.run = run;
+            this.how = how;
+        }
+
         List<Object> json() {
             return List.of(number, task, run, how, "");
         }
@@ -125,6 +140,9 @@
             synchronized (this) {
                 long now = System.nanoTime();
                 boolean lapsed = clock() > untilMillis;
+                if (lapsed) {
+                    ends.forEach(e -> e.lapsed = true);
+                }
                 for (Run run : new ArrayList<>(runs.values())) {
                     if (lapsed) {
                         end(run, "lapsed");
@@ -241,7 +259,9 @@
         long cursor = Json.number(body, "ack_cursor", 0);
         while (!ends.isEmpty() && ends.peek().number <= cursor) {
             End end = ends.remove();
-            bed.acknowledged(this, end.task, end.run, end.how);
+            if (!end.lapsed) {
+                bed.acknowledged(this, end.task, end.run, end.how);
+            }
         }
         long endNanos =
                 System.nanoTime() + Math.min(2000, Json.number(body, "wait_ms", 0)) * 1_000_000;
