--- a/review/standin-2/ManyEnds.java
+++ b/review/standin-2/ManyEnds.java
@@ -7,7 +7,10 @@
     /** Work items on each worker at a time: as many as its processors bear. */
     private static final int EACH = Integer.getInteger("each", 4000);
 
-    private static final int WORK_MILLIS = 2000;
+    private static final int WORK_MILLIS = Integer.getInteger("work", 1500);
+
+    /** The platform starts a killed process again after a short delay. */
+    private static final int RESTART_MILLIS = Integer.getInteger("restart", 1000);
 
     /** How long the store takes for an answer after the kill; usually as before. */
     private static final int STORE_MILLIS = Integer.getInteger("store", 4);
@@ -53,6 +56,8 @@
         if (bed.trouble) {
             bed.store.gate = (port, call) -> STORE_MILLIS;
             owner.kill();
+            Thread.sleep(RESTART_MILLIS);
+            owner.start();
         }
         for (int i = 0; i < 50; i++) {
             Thread.sleep(500);
