--- a/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/Daemon.java
@@ -7,7 +7,6 @@
 import io.vertx.ext.web.Router;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.UUID;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -77,8 +76,7 @@
 
     private final Settings settings;
     private final Clock clock = Clock.system();
-    private final BootId boot =
-            new BootId(UUID.randomUUID().toString().replace("-", "").substring(0, 16));
+    private final BootId boot = BootId.random();
     private final CallIds callIds = new CallIds(boot);
     private final EventLog log = new EventLog(clock);
     private final DaemonMetrics metrics = new DaemonMetrics();
