Test that a late answer of the platform is not taken for the next one

Replies between daemons were matched by a number alone. On the connections to the platform and the workers an answer is matched by its place, so one that comes after the time-out of its call could be taken for that to the next call. It is not: both clients close the connection. The tests pass on the code as it is.

--- a/daemon/src/test/java/org/crocusgrade/daemon/platform/HttpKeyValueStoreTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/platform/HttpKeyValueStoreTest.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.oneOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -12,6 +13,8 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicLong;
@@ -32,6 +35,10 @@
     private static final Duration WAIT = Duration.ofSeconds(10);
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
     private static final Duration LONG_WATCH = Duration.ofSeconds(8);
+
+    /** More than the client has connections. */
+    private static final int CONCURRENT_CALLS = 20;
+
     private static final byte[] VALUE = "value".getBytes(UTF_8);
     private static final String KEY = "fleet/bretagne/rack 1&x=y";
 
@@ -129,6 +136,30 @@
         fresh.close();
     }
 
+    /**
+     * Guards against the answer to a call that has timed out being taken for that to a later one.
+     */
+    @Test
+    void answerAfterTheTimeoutIsNotThatToALaterCall() {
+        put("a", KeyValueStore.ABSENT);
+        server.setFaults(new PlatformFaults(false, false, TIMEOUT.plusMillis(300), 0));
+        List<Uni<Kind>> late = new ArrayList<>();
+        for (int i = 0; i < CONCURRENT_CALLS; i++) {
+            late.add(failureOf(store.get("a")));
+        }
+        assertThat(
+                await(Uni.join().all(late).andCollectFailures()), everyItem(is(Kind.ANSWER_LOST)));
+        server.setFaults(new PlatformFaults(false, false, Duration.ofMillis(600), 0));
+        List<Uni<Optional<StoreEntry>>> next = new ArrayList<>();
+        for (int i = 0; i < CONCURRENT_CALLS; i++) {
+            next.add(store.get("b"));
+        }
+        assertThat(
+                "b is absent",
+                await(Uni.join().all(next).andCollectFailures()),
+                everyItem(is(Optional.empty())));
+    }
+
     @Test
     void closedPooledConnectionIsNotReused() {
         put(KEY, KeyValueStore.ABSENT);
@@ -149,6 +180,13 @@
         return uni.await().atMost(WAIT);
     }
 
+    private static Uni<Kind> failureOf(Uni<?> uni) {
+        return uni.onItem()
+                .transform(r -> (Kind) null)
+                .onFailure(StoreException.class)
+                .recoverWithItem(e -> ((StoreException) e).kind());
+    }
+
     private static Kind kindOf(Uni<?> uni) {
         Throwable e = assertThrows(CompletionException.class, () -> await(uni));
         return ((StoreException) e.getCause()).kind();
