Store the policy of its queue with a submission

Its queue, whose policy asks for advice, was removed, all daemons were restarted in turn, and each start of the second step was rejected, for it carried no ticket.

Cause: the record of a submission named its queue, but removed queues were kept in memory only. A process that was started later took defaults, without advice.

Fix: the record carries the policy that the queue had when it accepted the submission. An owner that loads it uses this policy unless a configuration contains the queue.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/BatchNode.java
@@ -309,7 +309,7 @@
                         reason -> duties.relinquish(ownership.duty(), reason));
         owners.put(service, owner);
         registry.setWatching(true);
-        new PoolLoader(runtime, owner, registry).start();
+        new PoolLoader(runtime, owner, registry, queues).start();
     }
 
     @Override
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolLoader.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolLoader.java
@@ -37,12 +37,15 @@
     private final BatchRuntime runtime;
     private final PoolOwner owner;
     private final WorkerRegistry registry;
+    private final QueueRegistry queues;
     private final Map<SubmissionId, StoredSubmission> submissions = new HashMap<>();
 
-    PoolLoader(BatchRuntime runtime, PoolOwner owner, WorkerRegistry registry) {
+    PoolLoader(
+            BatchRuntime runtime, PoolOwner owner, WorkerRegistry registry, QueueRegistry queues) {
         this.runtime = runtime;
         this.owner = owner;
         this.registry = registry;
+        this.queues = queues;
     }
 
     void start() {
@@ -135,6 +138,7 @@
             if (progress != null) {
                 RecordCodec.restore(submission, progress);
             }
+            RecordCodec.queue(stored).ifPresent(q -> queues.remember(q, accepted));
             return Optional.of(submission);
         } catch (FormatException | RuntimeException e) {
             runtime.log().log(Event.RECORD_UNREADABLE, "id", id, "cause", e);
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolRequests.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolRequests.java
@@ -146,14 +146,7 @@
                         runtime.clock().nanoTime(),
                         false);
         submission.setAdmission(decision);
-        byte[] record =
-                RecordCodec.submission(
-                        service,
-                        route.queue(),
-                        call.customer(),
-                        wall,
-                        route.maxAttempts(),
-                        call.body());
+        byte[] record = RecordCodec.submission(route, call.customer(), wall, call.body());
         Creation creation = new Creation(call.customer(), new ArrayList<>(1));
         creation.waiting.add(r -> created(call, r, reply));
         creating.put(id, creation);
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/QueueRegistry.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/QueueRegistry.java
@@ -1,6 +1,7 @@
 package org.crocusgrade.daemon.batch;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -19,6 +20,7 @@
     private static final Duration DEFAULT_TARGET = Duration.ofSeconds(1);
 
     private final Map<QueueId, QueueRoute> known = new HashMap<>();
+    private final Map<QueueId, Remembered> remembered = new HashMap<>();
     private volatile QueueTable table = QueueTable.EMPTY;
 
     /**
@@ -41,14 +43,32 @@
         return table;
     }
 
-    /** Returns a queue as it was in the newest configuration that contained it. */
+    /**
+     * Adds a queue as it was when it accepted a stored submission. It is used until a configuration
+     * contains the queue, or a later submission of it is found.
+     */
+    void remember(QueueRoute queue, Instant accepted) {
+        remembered.merge(
+                queue.queue(),
+                new Remembered(queue, accepted),
+                (a, b) -> b.accepted.isAfter(a.accepted) ? b : a);
+    }
+
+    /**
+     * Returns a queue as it was in the newest configuration that contained it, or else when it
+     * accepted the latest submission that this process has loaded.
+     */
     Optional<QueueRoute> lastKnown(QueueId queue) {
-        return Optional.ofNullable(known.get(queue));
+        QueueRoute configured = known.get(queue);
+        if (configured != null) {
+            return Optional.of(configured);
+        }
+        return Optional.ofNullable(remembered.get(queue)).map(Remembered::queue);
     }
 
     /**
-     * Returns a default queue for submissions whose own queue is in no configuration that this
-     * process has received.
+     * Returns a default queue for submissions that an older version has stored, without a policy,
+     * and whose queue is in no configuration that this process has received.
      */
     static QueueRoute unknownQueue(QueueId queue, ServiceId service) {
         return new QueueRoute(
@@ -64,4 +84,6 @@
                 Optional.empty(),
                 false);
     }
+
+    private record Remembered(QueueRoute queue, Instant accepted) {}
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordCodec.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordCodec.java
@@ -2,11 +2,14 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.BitSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import org.crocusgrade.core.config.QueueRoute;
+import org.crocusgrade.core.config.QueueRoute.AdvicePolicy;
 import org.crocusgrade.core.id.CustomerId;
 import org.crocusgrade.core.id.QueueId;
 import org.crocusgrade.core.id.ServiceId;
@@ -21,7 +24,9 @@
 import org.crocusgrade.core.submission.SubmissionSpec;
 import org.crocusgrade.core.submission.SubmissionState;
 import org.crocusgrade.core.submission.TaskId;
+import org.crocusgrade.peer.proto.StoredAdvicePolicy;
 import org.crocusgrade.peer.proto.StoredCrash;
+import org.crocusgrade.peer.proto.StoredPolicy;
 import org.crocusgrade.peer.proto.StoredProgress;
 import org.crocusgrade.peer.proto.StoredStep;
 import org.crocusgrade.peer.proto.StoredSubmission;
@@ -32,23 +37,69 @@
     private RecordCodec() {}
 
     static byte[] submission(
-            ServiceId service,
-            QueueId queue,
-            Optional<CustomerId> customer,
-            Instant accepted,
-            int maxAttempts,
-            byte[] body) {
+            QueueRoute queue, Optional<CustomerId> customer, Instant accepted, byte[] body) {
         return StoredSubmission.newBuilder()
-                .setService(service.value())
-                .setQueue(queue.value())
+                .setService(queue.service().value())
+                .setQueue(queue.queue().value())
                 .setCustomer(customer.map(CustomerId::value).orElse(""))
                 .setAcceptedEpochMs(accepted.toEpochMilli())
-                .setMaxAttempts(maxAttempts)
+                .setMaxAttempts(queue.maxAttempts())
+                .setPolicy(policy(queue))
                 .setBody(ByteString.copyFrom(body))
                 .build()
                 .toByteArray();
     }
 
+    private static StoredPolicy policy(QueueRoute queue) {
+        StoredPolicy.Builder policy =
+                StoredPolicy.newBuilder()
+                        .setPriority(queue.priority())
+                        .setStretch(queue.stretch())
+                        .setTargetMs(queue.target().toMillis());
+        queue.advice()
+                .ifPresent(
+                        a ->
+                                policy.setAdvice(
+                                        StoredAdvicePolicy.newBuilder()
+                                                .setDecideMs(a.decide().toMillis())
+                                                .setPerWorkerMs(a.perWorker().toMillis())
+                                                .setValidityMs(a.validity().toMillis())));
+        return policy.build();
+    }
+
+    /**
+     * Returns the queue of a stored submission, with the policy that it had when it accepted the
+     * submission; empty if an older version has stored it. No call is routed to this queue.
+     */
+    static Optional<QueueRoute> queue(StoredSubmission stored) {
+        if (!stored.hasPolicy()) {
+            return Optional.empty();
+        }
+        StoredPolicy policy = stored.getPolicy();
+        Duration target = Duration.ofMillis(policy.getTargetMs());
+        return Optional.of(
+                new QueueRoute(
+                        new QueueId(stored.getQueue()),
+                        "",
+                        "",
+                        new ServiceId(stored.getService()),
+                        policy.getPriority(),
+                        stored.getMaxAttempts(),
+                        policy.getStretch(),
+                        target,
+                        target,
+                        policy.hasAdvice() ? Optional.of(advice(policy)) : Optional.empty(),
+                        false));
+    }
+
+    private static AdvicePolicy advice(StoredPolicy policy) {
+        StoredAdvicePolicy advice = policy.getAdvice();
+        return new AdvicePolicy(
+                Duration.ofMillis(advice.getDecideMs()),
+                Duration.ofMillis(advice.getPerWorkerMs()),
+                Duration.ofMillis(advice.getValidityMs()));
+    }
+
     static StoredSubmission readSubmission(byte[] value) throws FormatException {
         try {
             return StoredSubmission.parseFrom(value);
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/CustomerAccessTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/CustomerAccessTest.java
@@ -56,7 +56,10 @@
         SubmissionId id = fleet.nextId();
         byte[] record =
                 RecordCodec.submission(
-                        SimFleet.SERVICE, SimFleet.QUEUE, customer("a"), Instant.EPOCH, 3, body());
+                        QueueRegistry.unknownQueue(SimFleet.QUEUE, SimFleet.SERVICE),
+                        customer("a"),
+                        Instant.EPOCH,
+                        body());
         fleet.store.write(StoreKeys.submission(id), record);
         checkClosedToOthers(id);
         assertThat(call(Operation.SUBMIT, id, "a"), is(Outcome.DONE));
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFormat.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFormat.java
@@ -51,6 +51,9 @@
     /** A word of a configuration that has a standby pool. */
     static final String STANDBY = "standby";
 
+    /** A word of a configuration without the queue. */
+    static final String NO_QUEUE = "no-queue";
+
     static final String WAVE_PREFIX = "op/wave/";
 
     private static final Duration WAVE_TIME = Duration.ofSeconds(60);
@@ -121,6 +124,9 @@
         PoolPolicy policy = new PoolPolicy(SimFleet.SERVICE, true, false);
         Map<ServiceId, PoolPolicy> pools = new HashMap<>();
         pools.put(SimFleet.SERVICE, policy);
+        if (words[words.length - 1].equals(NO_QUEUE)) {
+            return new QueueTable(version, List.of(), pools, CustomerDirectory.NONE);
+        }
         if (words[words.length - 1].equals(STANDBY)) {
             pools.put(SimFleet.STANDBY, new PoolPolicy(SimFleet.STANDBY, true, true));
             return new QueueTable(version, List.of(route), pools, CustomerDirectory.NONE);
