Settle a pool once its workers have listed all ends of former runs

The owner of the pool was killed, thousands of small runs ended meanwhile, and each worker listed 500 ends at a time. The next owner took the pool for settled after the first answer of each worker.

Cause: the first answer names all active runs, but only the first page of those that have ended.

Fix: a report says whether it lists all ends. The runs of former owners are known once a worker has listed all its ends, or the end of a run that was active at its first answer: ends are listed in order, so the wait ends even if runs end faster than they are read. A worker that falls silent between two pages is waited for until its leases have ended.

--- a/core/src/main/java/org/crocusgrade/core/port/WorkerOrders.java
+++ b/core/src/main/java/org/crocusgrade/core/port/WorkerOrders.java
@@ -118,13 +118,16 @@
      * @param clockMillis its clock
      * @param startedEpochMillis when this incarnation of the worker started, in Unix milliseconds
      * @param running the runs in progress
-     * @param ends the ended runs that are not acknowledged yet
+     * @param ends the ended runs that are not acknowledged yet, in the order in which they ended
+     * @param allEnds whether {@code ends} is complete; if not, later ones are listed once those are
+     *     acknowledged
      */
     record WorkerReport(
             long clockMillis,
             OptionalLong startedEpochMillis,
             List<TaskRun> running,
-            List<TaskEnd> ends) {
+            List<TaskEnd> ends,
+            boolean allEnds) {
         /** Copies the lists. */
         public WorkerReport {
             running = List.copyOf(running);
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -267,16 +267,18 @@
      * @param requestedNanos when the report was requested, in nanoseconds on the monotonic clock
      * @param running the runs that the worker lists as running
      * @param ends the ends of runs that the worker lists
+     * @param allEnds whether the worker has listed all ends that are not acknowledged
      */
     public void onReport(
             WorkerNode worker,
             long requestedNanos,
             List<TaskRun> running,
             List<TaskEnd> ends,
+            boolean allEnds,
             long now,
             Instant wall) {
         crashes.onAnswer(worker);
-        reports.onReport(worker, requestedNanos, running, ends, now, wall);
+        reports.onReport(worker, requestedNanos, running, ends, allEnds, now, wall);
     }
 
     /** Processes the result of a start order. */
--- a/core/src/main/java/org/crocusgrade/core/schedule/ReportProcessor.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/ReportProcessor.java
@@ -25,9 +25,6 @@
  * report requested earlier proves nothing.
  */
 final class ReportProcessor {
-    /** From this many ends on, a report may be truncated, so a missing run is no proof. */
-    private static final int END_LIST_LIMIT = 500;
-
     /**
      * A worker is quarantined when runs of this many submissions have failed without a success in
      * between.
@@ -64,6 +61,7 @@
             long requestedNanos,
             List<TaskRun> running,
             List<TaskEnd> ends,
+            boolean allEnds,
             long now,
             Instant wall) {
         worker.setReported(requestedNanos, now);
@@ -81,7 +79,7 @@
                 applyEnd(worker, end, now, wall);
             }
         }
-        if (ends.size() < END_LIST_LIMIT) {
+        if (allEnds) {
             dropAbsent(worker, listed, requestedNanos);
         }
     }
--- a/core/src/test/java/org/crocusgrade/core/schedule/LoadReplay.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/LoadReplay.java
@@ -111,7 +111,7 @@
             }
         }
         if (!ended.isEmpty()) {
-            scheduler.onReport(worker, now, running, ended, now, Pool.START.plusNanos(now));
+            scheduler.onReport(worker, now, running, ended, true, now, Pool.START.plusNanos(now));
         }
     }
 
--- a/core/src/test/java/org/crocusgrade/core/schedule/Pool.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/Pool.java
@@ -227,7 +227,7 @@
         now += 1_000_000;
         long requestedNanos = now;
         now += 1_000_000;
-        scheduler.onReport(worker, requestedNanos, running, List.of(ends), now, wall());
+        scheduler.onReport(worker, requestedNanos, running, List.of(ends), true, now, wall());
     }
 
     static TaskRun run(Placement placement) {
--- a/core/src/test/java/org/crocusgrade/core/schedule/PoolSchedulerTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/PoolSchedulerTest.java
@@ -98,7 +98,7 @@
         long requestedNanos = pool.now();
         pool.answer(placement, StartAnswer.STARTED);
         pool.scheduler.onReport(
-                worker, requestedNanos, List.of(), List.of(), pool.now(), pool.wall());
+                worker, requestedNanos, List.of(), List.of(), true, pool.now(), pool.wall());
         assertThat(pool.starts(), empty());
         pool.list(worker, List.of());
         assertThat(pool.starts(), hasSize(1));
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -352,7 +352,13 @@
         Instant wall = runtime.clock().now();
         long lastKnownEnd = session.node().lastEnd();
         scheduler.onReport(
-                session.node(), requestedNanos, report.running(), report.ends(), now, wall);
+                session.node(),
+                requestedNanos,
+                report.running(),
+                report.ends(),
+                report.allEnds(),
+                now,
+                wall);
         orderLog.onEnds(session.node().id(), report.ends(), lastKnownEnd);
         logNotices();
         writer.scheduleFlush();
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
@@ -250,18 +250,21 @@
         boolean inherited =
                 scheduler.submissions().stream()
                         .anyMatch(s -> s.isInherited() && !s.outcome().isFinal());
-        boolean fenced = isAllFenced();
+        boolean known = areAllFormerRunsKnown();
         long age = runtime.clock().nanoTime() - tookOverNanos;
         long expiryNanos = tookOverNanos + FORMER_LEASE_EXPIRY.toNanos();
-        boolean expired = age > FORMER_LEASE_EXPIRY.toNanos() && duty.wasHeldAt(expiryNanos);
-        if (!inherited || fenced || expired) {
+        boolean expired =
+                age > FORMER_LEASE_EXPIRY.toNanos()
+                        && duty.wasHeldAt(expiryNanos)
+                        && sessions.values().stream().noneMatch(this::isReadingEnds);
+        if (!inherited || known || expired) {
             scheduler.setSettled();
             runtime.log().log(
                     Event.POOL_SETTLED,
                     "pool",
                     service,
                     "fenced",
-                    fenced,
+                    known,
                     "after-ms",
                     Duration.ofNanos(age).toMillis(),
                     "submissions",
@@ -269,11 +272,26 @@
         }
     }
 
-    /** Returns whether every worker that may execute a run of an earlier owner has been fenced. */
-    private boolean isAllFenced() {
+    /**
+     * Returns whether every worker that may execute a run of an earlier owner has been fenced, and
+     * has listed all runs that it began before.
+     */
+    private boolean areAllFormerRunsKnown() {
         return workersToFence.isPresent()
                 && workersToFence.get().stream()
-                        .allMatch(w -> sessions.containsKey(w) && sessions.get(w).isFenced());
+                        .allMatch(
+                                w ->
+                                        sessions.containsKey(w)
+                                                && sessions.get(w).areFormerRunsKnown());
+    }
+
+    /**
+     * Returns whether a worker that has answered has yet to list ends of earlier runs. The expiry
+     * of leases proves nothing for these: a run that is done must not be started again. A worker
+     * that falls silent meanwhile is waited for only until its leases have ended.
+     */
+    private boolean isReadingEnds(WorkerSession session) {
+        return session.isFenced() && !session.areFormerRunsKnown() && !areLeasesExpired(session);
     }
 
     /**
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.crocusgrade.core.port.OrderException;
 import org.crocusgrade.core.port.WorkerEntry;
 import org.crocusgrade.core.port.WorkerOrders.Poll;
@@ -14,6 +16,7 @@
 import org.crocusgrade.core.schedule.RepeatDelay;
 import org.crocusgrade.core.schedule.StartAnswer;
 import org.crocusgrade.core.schedule.WorkerNode;
+import org.crocusgrade.core.submission.TaskId;
 import org.crocusgrade.daemon.log.Event;
 import org.crocusgrade.peer.proto.WorkerStatusMessage;
 
@@ -62,6 +65,7 @@
     private final Listener listener;
     private boolean registered = true;
     private boolean fenced;
+    private boolean formerRunsKnown;
     private boolean closed;
     private final RepeatDelay pollDelay = new RepeatDelay(POLL_WAIT);
     private final RunLease lease;
@@ -69,6 +73,9 @@
     private Optional<PollRound> round = Optional.empty();
     private long listedEnd;
 
+    /** The runs that the worker's first report lists as active, until all former runs are known. */
+    private Set<RunKey> firstActive = Set.of();
+
     /**
      * The number of the last end whose acknowledgement the worker has answered. It is not sent
      * again: a worker born again under the same name counts from 1, and would discard ends that
@@ -110,6 +117,17 @@
         return fenced;
     }
 
+    /**
+     * Returns whether all runs that the worker began before its first answer are known. That answer
+     * lists those that are active, but of those that have ended only as many as fit a report. A
+     * worker lists ends in order, so they are known once it has listed all ends, or one of a run
+     * that was still active at the first answer. The latter ends the wait although runs may end
+     * faster than their ends are read.
+     */
+    boolean areFormerRunsKnown() {
+        return formerRunsKnown;
+    }
+
     boolean isRegistered() {
         return registered;
     }
@@ -249,6 +267,7 @@
         connectionLost = false;
         acknowledged = Math.max(acknowledged, cursor);
         lease.calibrate(report.clockMillis());
+        updateFormerRuns(report);
         fenced = true;
         updateUsable();
         listener.onReport(this, requestedNanos, report);
@@ -265,6 +284,25 @@
         }
     }
 
+    private void updateFormerRuns(WorkerReport report) {
+        if (formerRunsKnown) {
+            return;
+        }
+        if (!fenced) {
+            firstActive =
+                    report.running().stream()
+                            .map(r -> new RunKey(r.task(), r.run()))
+                            .collect(Collectors.toUnmodifiableSet());
+        }
+        formerRunsKnown =
+                report.allEnds()
+                        || report.ends().stream()
+                                .anyMatch(e -> firstActive.contains(new RunKey(e.task(), e.run())));
+        if (formerRunsKnown) {
+            firstActive = Set.of();
+        }
+    }
+
     /** Ends the round of polls unless a repetition was in vain, and records the time it took. */
     private void recordAnswer(PollRound asked, boolean repeated, boolean newEnds) {
         if (!repeated) {
@@ -346,6 +384,8 @@
         node.setUsable(registered && fenced && failures == 0 && !closed);
     }
 
+    private record RunKey(TaskId task, long run) {}
+
     /** A poll and its repetitions, of which the first answer with new ends counts. */
     private static final class PollRound {
         private final long sentNanos;
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimWorker.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimWorker.java
@@ -48,6 +48,7 @@
     private boolean down;
     private boolean refuses;
     private boolean slowRuns;
+    private int maxListedEnds = Integer.MAX_VALUE;
     private long milliCores = SimFleet.CAPACITY.milliCores();
 
     SimWorker(String name, SimTime time, SimChecks checks, long taskMillis, boolean needsTickets) {
@@ -89,6 +90,11 @@
         milliCores = to;
     }
 
+    /** Sets how many ends the worker lists at a time. */
+    void setMaxListedEnds(int number) {
+        maxListedEnds = number;
+    }
+
     /** Makes one in ten runs take seven times as long. */
     void setSlowRuns() {
         slowRuns = true;
@@ -215,8 +221,13 @@
     WorkerReport report() {
         List<TaskRun> runs = new ArrayList<>();
         running.forEach((task, run) -> runs.add(new TaskRun(task, run.number, "", 100, 0)));
+        int listed = Math.min(ends.size(), maxListedEnds);
         return new WorkerReport(
-                clock(), OptionalLong.of(startedEpochMillis), runs, List.copyOf(ends));
+                clock(),
+                OptionalLong.of(startedEpochMillis),
+                runs,
+                List.copyOf(ends.subList(0, listed)),
+                listed == ends.size());
     }
 
     /** Runs a step at the next end of a run, or immediately if ends are listed. */
