Name a run of a task by one type

WorkerSession had a record of its own for what ReportProcessor calls RunId. The type moves to core/submission and serves both; nothing else changes.

--- a/core/src/main/java/org/crocusgrade/core/schedule/ReportProcessor.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/ReportProcessor.java
@@ -11,6 +11,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import org.crocusgrade.core.id.QueueId;
+import org.crocusgrade.core.submission.RunId;
 import org.crocusgrade.core.submission.SubmissionState;
 import org.crocusgrade.core.submission.TaskEnd;
 import org.crocusgrade.core.submission.TaskId;
@@ -337,7 +338,4 @@
             placement.task().clearAnnouncement(placement.run());
         }
     }
-
-    /** Identifies one run of a task. */
-    record RunId(TaskId task, long run) {}
 }
--- a/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/StopPlanner.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import org.crocusgrade.core.id.QueueId;
 import org.crocusgrade.core.schedule.Placement.Phase;
-import org.crocusgrade.core.schedule.ReportProcessor.RunId;
+import org.crocusgrade.core.submission.RunId;
 import org.crocusgrade.core.submission.StepSpec;
 import org.crocusgrade.core.submission.SubmissionId;
 
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -16,7 +16,7 @@
 import org.crocusgrade.core.schedule.RepeatDelay;
 import org.crocusgrade.core.schedule.StartAnswer;
 import org.crocusgrade.core.schedule.WorkerNode;
-import org.crocusgrade.core.submission.TaskId;
+import org.crocusgrade.core.submission.RunId;
 import org.crocusgrade.daemon.log.Event;
 import org.crocusgrade.peer.proto.WorkerStatusMessage;
 
@@ -74,7 +74,7 @@
     private long listedEnd;
 
     /** The runs that the worker's first report lists as active, until all former runs are known. */
-    private Set<RunKey> firstActive = Set.of();
+    private Set<RunId> firstActive = Set.of();
 
     /**
      * The number of the last end whose acknowledgement the worker has answered. It is not sent
@@ -291,13 +291,13 @@
         if (!fenced) {
             firstActive =
                     report.running().stream()
-                            .map(r -> new RunKey(r.task(), r.run()))
+                            .map(r -> new RunId(r.task(), r.run()))
                             .collect(Collectors.toUnmodifiableSet());
         }
         formerRunsKnown =
                 report.allEnds()
                         || report.ends().stream()
-                                .anyMatch(e -> firstActive.contains(new RunKey(e.task(), e.run())));
+                                .anyMatch(e -> firstActive.contains(new RunId(e.task(), e.run())));
         if (formerRunsKnown) {
             firstActive = Set.of();
         }
@@ -384,8 +384,6 @@
         node.setUsable(registered && fenced && failures == 0 && !closed);
     }
 
-    private record RunKey(TaskId task, long run) {}
-
     /** A poll and its repetitions, of which the first answer with new ends counts. */
     private static final class PollRound {
         private final long sentNanos;
