--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/RepliesToFormerProcessesTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/RepliesToFormerProcessesTest.java
@@ -15,8 +15,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 import org.crocusgrade.core.claim.Claim;
 import org.crocusgrade.core.claim.ClaimId;
 import org.crocusgrade.core.claim.ClaimVerdict;
@@ -39,7 +37,6 @@
 import org.crocusgrade.daemon.link.OwnershipMessages;
 import org.crocusgrade.daemon.link.PendingCalls;
 import org.crocusgrade.daemon.owner.LeaseRelay;
-import org.crocusgrade.peer.PeerLink;
 import org.crocusgrade.peer.proto.AdviceCallMessage;
 import org.crocusgrade.peer.proto.AdviceReplyMessage;
 import org.crocusgrade.peer.proto.Envelope;
@@ -385,35 +382,10 @@
     }
 
     /** Sends the messages of one process. */
-    private final class Wire implements PeerLink {
-        @Override
-        public InetSocketAddress start(InetSocketAddress listen) {
-            return listen;
-        }
-
-        @Override
-        public void setAddress(DaemonId peer, InetSocketAddress address) {
-            // Not needed: daemons are found by name.
-        }
-
-        @Override
-        public void removePeer(DaemonId peer) {
-            // Not needed: daemons are found by name.
-        }
-
-        @Override
-        public void reconnect(DaemonId peer) {
-            // Not needed: there are no connections.
-        }
-
+    private final class Wire extends SimLink {
         @Override
         public void send(DaemonId to, Envelope message) {
             RepliesToFormerProcessesTest.this.send(to, message);
         }
-
-        @Override
-        public CompletionStage<Void> stop() {
-            return CompletableFuture.completedStage(null); // Nothing to close.
-        }
     }
 }
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
@@ -15,8 +15,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import org.crocusgrade.core.id.BootId;
 import org.crocusgrade.core.id.CustomerId;
@@ -30,7 +28,6 @@
 import org.crocusgrade.daemon.batch.SubmissionCall.Operation;
 import org.crocusgrade.daemon.batch.SubmissionReply.Outcome;
 import org.crocusgrade.daemon.log.EventLog;
-import org.crocusgrade.peer.PeerLink;
 import org.crocusgrade.peer.PeerListener;
 import org.crocusgrade.peer.proto.Envelope;
 import org.crocusgrade.peer.proto.WorkerStatusMessage;
@@ -396,7 +393,7 @@
         }
     }
 
-    private final class Link implements PeerLink {
+    private final class Link extends SimLink {
         private final DaemonId self;
         private final BootId boot;
         private final Set<DaemonId> silent = new HashSet<>();
@@ -406,21 +403,6 @@
             this.boot = boot;
         }
 
-        @Override
-        public InetSocketAddress start(InetSocketAddress listen) {
-            return listen;
-        }
-
-        @Override
-        public void setAddress(DaemonId peer, InetSocketAddress address) {
-            // Not needed: simulated daemons are found by name.
-        }
-
-        @Override
-        public void removePeer(DaemonId peer) {
-            // Not needed: simulated daemons are found by name.
-        }
-
         @Override
         public void reconnect(DaemonId peer) {
             silent.remove(peer);
@@ -442,10 +424,5 @@
                         }
                     });
         }
-
-        @Override
-        public CompletionStage<Void> stop() {
-            return CompletableFuture.completedStage(null); // Nothing to close.
-        }
     }
 }
