Address each incarnation of a worker with a fencing token of its own

Cause: the clock of a worker starts anew with each incarnation. A call that was sent to the former one carries a time of the former clock, far ahead of the new one, so the next incarnation grants the longest lease, 6 s, and the owner knows only of the 4.8 s that it gave. All calls of an owner had one token, so nothing told the incarnations apart, and a call that was seconds late extended the lease once more.

Each further incarnation of an id is now addressed with a higher token, so that its first answer shuts out all earlier calls. Until the first answer the lease may have become as long as the worker grants, which the owner now assumes. A call for the former incarnation that is rejected by the next one says nothing about the duty.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyManager.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/DutyManager.java
@@ -37,7 +37,7 @@
  * immediately reclaims the duties that the store still records for its former incarnation, because
  * a host runs only one such process at a time.
  */
-final class DutyManager implements PoolOwner.DutyView {
+final class DutyManager implements DutyView {
     /** Delay after a failed call, in milliseconds. */
     private static final long RETRY_MILLIS = 250;
 
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/OrderSender.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/OrderSender.java
@@ -104,11 +104,12 @@
                     default -> StartAnswer.REFUSED;
                 };
         boolean fencedOff = reply.outcome() == StartOutcome.FENCED;
-        if (repeated && answer != StartAnswer.STARTED && !fencedOff) {
+        boolean byNextIncarnation = fencedOff && session.isClosed();
+        if (byNextIncarnation || repeated && answer != StartAnswer.STARTED && !fencedOff) {
             answer = StartAnswer.UNKNOWN;
         }
         listener.onStartAnswer(session, placement, answer, reply.outcome().name());
-        if (fencedOff) {
+        if (fencedOff && !byNextIncarnation) {
             listener.onFencedOff(session);
         }
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -313,6 +313,11 @@
         requests.handle(call, reply);
     }
 
+    @Override
+    public void onConfirmed(long revision) {
+        poolWorkers.onConfirmed(revision);
+    }
+
     @Override
     public void onWritten() {
         requests.onWritten();
@@ -484,16 +489,4 @@
         return queues.lastKnown(submission.queue())
                 .orElseGet(() -> QueueRegistry.unknownQueue(submission.queue(), service));
     }
-
-    /** The view of the duty for a pool's owner. */
-    interface DutyView {
-        /** Returns whether the store has confirmed the duty within the given time. */
-        boolean isConfirmedWithin(Duration age);
-
-        /**
-         * Returns whether no other daemon can have held the duty before a time on the monotonic
-         * clock, in nanoseconds.
-         */
-        boolean wasHeldAt(long nanos);
-    }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import org.crocusgrade.core.id.ServiceId;
@@ -45,15 +46,17 @@
 
     private final BatchRuntime runtime;
     private final ServiceId service;
-    private final DutyOwnership ownership;
     private final PoolScheduler scheduler;
-    private final PoolOwner.DutyView duty;
+    private final DutyView duty;
     private final WorkerSession.Listener listener;
     private final LateStarts lateStarts = new LateStarts();
     private final RepeatDelay orderDelay = new RepeatDelay(MAX_REPEAT_DELAY);
+    private final FencingTokens tokens;
     private final Map<WorkerId, WorkerSession> sessions = new TreeMap<>();
     private final Map<WorkerId, EndedIncarnation> endedIncarnations = new HashMap<>();
     private final long tookOverNanos;
+    private boolean stopped;
+    private Map<WorkerId, WorkerEntry> registered = Map.of();
     private Set<WorkerId> evacuating = Set.of();
 
     /** Workers that may execute runs of an earlier owner; empty until the host list was read. */
@@ -64,14 +67,14 @@
             ServiceId service,
             DutyOwnership ownership,
             PoolScheduler scheduler,
-            PoolOwner.DutyView duty,
+            DutyView duty,
             WorkerSession.Listener listener) {
         this.runtime = runtime;
         this.service = service;
-        this.ownership = ownership;
         this.scheduler = scheduler;
         this.duty = duty;
         this.listener = listener;
+        tokens = new FencingTokens(runtime, ownership, this::openWaiting);
         tookOverNanos = runtime.clock().nanoTime();
     }
 
@@ -80,9 +83,15 @@
     }
 
     void stop() {
+        stopped = true;
         sessions.values().forEach(WorkerSession::close);
     }
 
+    /** Records a revision of the store at which this owner still held its duty. */
+    void onConfirmed(long revision) {
+        tokens.confirm(revision);
+    }
+
     void send(Order order) {
         WorkerSession session = sessions.get(order.worker().id());
         if (session != null && session.node() == order.worker()) {
@@ -90,8 +99,15 @@
         }
     }
 
+    private void openWaiting() {
+        if (!stopped) {
+            onWorkers(registered);
+        }
+    }
+
     /** Updates the sessions to the registered workers, given for all pools. */
-    void onWorkers(Map<WorkerId, WorkerEntry> registered) {
+    void onWorkers(Map<WorkerId, WorkerEntry> entries) {
+        registered = entries;
         for (WorkerEntry entry : registered.values()) {
             if (entry.service().equals(service)) {
                 // One entry that cannot be taken over must not keep back the others.
@@ -112,11 +128,12 @@
             incarnationEnded(held, "registered again");
             held = null;
         }
-        if (held == null) {
-            held = open(entry);
-        }
-        held.setDraining(entry.draining());
-        updateCapacity(held.node(), entry.capacity());
+        Optional<WorkerSession> session = held == null ? open(entry) : Optional.of(held);
+        session.ifPresent(
+                s -> {
+                    s.setDraining(entry.draining());
+                    updateCapacity(s.node(), entry.capacity());
+                });
     }
 
     private void updateCapacity(WorkerNode node, Resources reported) {
@@ -141,7 +158,17 @@
                 node.free().milliCores());
     }
 
-    private WorkerSession open(WorkerEntry entry) {
+    /**
+     * Opens a session with an incarnation of a worker; empty while no token is known that is above
+     * those of its former incarnations.
+     */
+    private Optional<WorkerSession> open(WorkerEntry entry) {
+        EndedIncarnation last = endedIncarnations.get(entry.worker());
+        OptionalLong token =
+                last == null ? OptionalLong.of(tokens.latest()) : tokens.above(last.token);
+        if (token.isEmpty()) {
+            return Optional.empty();
+        }
         WorkerNode node =
                 new WorkerNode(
                         entry.worker(),
@@ -153,9 +180,9 @@
                         entry.capacity());
         node.setEvacuating(evacuating.contains(entry.worker()));
         WorkerSession session =
-                new WorkerSession(runtime, node, entry, ownership.token(), orderDelay, listener);
+                new WorkerSession(runtime, node, entry, token.getAsLong(), orderDelay, listener);
         sessions.put(entry.worker(), session);
-        EndedIncarnation last = endedIncarnations.remove(entry.worker());
+        endedIncarnations.remove(entry.worker());
         if (last == null) {
             scheduler.addWorker(node);
         } else {
@@ -173,7 +200,7 @@
                 entry.capacity().milliCores());
         session.start();
         rejectLateStarts(session);
-        return session;
+        return Optional.of(session);
     }
 
     /** Records a start without an answer, which the worker may carry out later. */
@@ -328,10 +355,18 @@
 
     /** Removes a worker whose incarnation has certainly ended. */
     void close(WorkerSession session, String reason) {
-        session.close();
-        sessions.remove(session.node().id(), session);
+        end(session, reason);
         scheduler.removeWorker(session.node());
-        log(session.node(), reason);
+    }
+
+    private void end(WorkerSession session, String reason) {
+        WorkerNode node = session.node();
+        session.close();
+        sessions.remove(node.id(), session);
+        endedIncarnations.put(
+                node.id(),
+                new EndedIncarnation(node, session.target().token(), runtime.clock().nanoTime()));
+        log(node, reason);
     }
 
     /**
@@ -340,29 +375,23 @@
      * runs.
      */
     void incarnationEnded(WorkerSession session, String reason) {
-        WorkerNode node = session.node();
-        if (!scheduler.incarnationEnded(node)) {
+        if (scheduler.incarnationEnded(session.node())) {
+            end(session, reason);
+        } else {
             close(session, reason);
-            return;
         }
-        session.close();
-        sessions.remove(node.id(), session);
-        endedIncarnations.put(node.id(), new EndedIncarnation(node, runtime.clock().nanoTime()));
-        log(node, reason);
     }
 
     private void removeOldIncarnations() {
         long now = runtime.clock().nanoTime();
+        for (EndedIncarnation ended : endedIncarnations.values()) {
+            if (now - ended.sinceNanos > MAX_ORDER_DELAY.toNanos()) {
+                scheduler.removeWorker(ended.node);
+            }
+        }
         endedIncarnations
                 .values()
-                .removeIf(
-                        l -> {
-                            boolean expired = now - l.sinceNanos > MAX_ORDER_DELAY.toNanos();
-                            if (expired) {
-                                scheduler.removeWorker(l.node);
-                            }
-                            return expired;
-                        });
+                .removeIf(l -> now - l.sinceNanos > LateStarts.MAX_DELAY.toNanos());
     }
 
     private void log(WorkerNode node, String reason) {
@@ -370,6 +399,10 @@
                 Event.WORKER_GONE, "pool", service, "worker", node.id(), "reason", reason);
     }
 
-    /** An ended incarnation of a worker, with orders that may reach the next one. */
-    private record EndedIncarnation(WorkerNode node, long sinceNanos) {}
+    /**
+     * An ended incarnation of a worker, with orders that may reach the next one.
+     *
+     * @param token the fencing token of these orders
+     */
+    private record EndedIncarnation(WorkerNode node, long token, long sinceNanos) {}
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordWriter.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordWriter.java
@@ -263,6 +263,7 @@
             return;
         }
         if (result.applied()) {
+            listener.onConfirmed(result.revision());
             onApplied(batch, result.revision());
         } else {
             onConflict(batch, result);
@@ -384,6 +385,9 @@
 
     /** Notified of the results of writes. */
     interface Listener {
+        /** Called when records were stored at a revision, at which this daemon held the duty. */
+        void onConfirmed(long revision);
+
         /** Called when the store has answered a transaction; records may have been stored. */
         void onWritten();
 
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/RunLease.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RunLease.java
@@ -1,5 +1,6 @@
 package org.crocusgrade.daemon.batch;
 
+import java.time.Duration;
 import java.util.OptionalLong;
 
 /**
@@ -8,6 +9,12 @@
  * <p>The clock of the worker is known from its last answer. It may be 2% slow, so a lease that ends
  * at U on a clock that showed C in an answer received at time t has ended at the latest at t + (U -
  * C) / 0.98. When that time has passed without an answer, the worker no longer executes any run.
+ *
+ * <p>Until its first answer, the worker may have carried out calls for its former incarnation. The
+ * time that they carry is of that incarnation's clock, which is far ahead, so the lease may be as
+ * long as the worker grants. From the first answer on it rejects them (see {@link FencingTokens}).
+ * For example, a worker that grants 6000 ms answers for the first time when its clock shows 100,
+ * and is then told to continue until 4900. Its runs may last until 6100.
  */
 final class RunLease {
     /**
@@ -26,13 +33,22 @@
     private long clockMillis;
     private long clockReadNanos;
     private long untilMillis;
+    private long formerUntilMillis;
 
     RunLease(BatchRuntime runtime) {
         this.runtime = runtime;
     }
 
+    /** Returns how long the lease lasts that a worker grants for a call without a known time. */
+    static Duration longest(PlatformLimits limits) {
+        return Duration.ofNanos((long) (limits.maxRunLease().toNanos() / SLOWEST_CLOCK));
+    }
+
     /** Records the worker's clock, as shown in an answer that has just come. */
     void calibrate(long clock) {
+        if (!calibrated) {
+            formerUntilMillis = clock + runtime.limits().maxRunLease().toMillis();
+        }
         calibrated = true;
         clockMillis = clock;
         clockReadNanos = runtime.clock().nanoTime();
@@ -59,7 +75,7 @@
 
     /** Returns when the lease ends at the latest, on the monotonic clock. */
     long endNanos() {
-        double left = (untilMillis - clockMillis) / SLOWEST_CLOCK;
+        double left = (Math.max(untilMillis, formerUntilMillis) - clockMillis) / SLOWEST_CLOCK;
         return clockReadNanos + (long) (left * NANOS_PER_MILLI);
     }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -86,6 +86,11 @@
     private int failures;
     private boolean connectionLost;
 
+    /**
+     * Creates a session.
+     *
+     * @param token a fencing token above those of the worker's former incarnations
+     */
     WorkerSession(
             BatchRuntime runtime,
             WorkerNode node,
--- /dev/null
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FormerIncarnationTest.java
@@ -0,0 +1,150 @@
+package org.crocusgrade.daemon.batch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.LongStream;
+import org.crocusgrade.core.id.WorkerId;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Guards against two runs of a task on workers that start again under their ids and are cut off
+ * soon after: the next incarnation carries out calls that were sent to the former one.
+ */
+class FormerIncarnationTest {
+    private static final int SEEDS = 30;
+    private static final int ROUNDS = 3;
+    private static final long LONG_TASK_MILLIS = 1300;
+
+    /** The range of seeds can be set by {@code -Dsim.first} and {@code -Dsim.last}. */
+    static List<Long> seeds() {
+        long last = Math.min(SEEDS, Long.getLong("sim.last", SEEDS));
+        return LongStream.rangeClosed(Long.getLong("sim.first", 1), last).boxed().toList();
+    }
+
+    /**
+     * Calls that are in flight while a worker restarts reach its next incarnation, whose clock
+     * starts anew, so that their lease is longer than its sender knows.
+     */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void leaseThatACallForTheFormerIncarnationExtendsIsNotTakenForExpired(long seed) {
+        SimFleet fleet = busyFleet(seed);
+        for (int round = 0; round < ROUNDS; round++) {
+            Set<SimWorker> restarted = restartWorkers(fleet);
+            submitFor(fleet, 100 + fleet.random.nextInt(1600));
+            isolate(fleet, restarted);
+            submitFor(fleet, 9000);
+            isolate(fleet, List.of());
+            submitFor(fleet, 3000);
+        }
+        assertThat("seed " + seed, fleet.checks.violations(), empty());
+        fleet.time.run(30_000);
+        assertThat("seed " + seed, fleet.unfinished(), empty());
+        assertThat("seed " + seed, fleet.checks.violations(), empty());
+    }
+
+    /** A late call for the former incarnation arrives after the first answer of the next one. */
+    @ParameterizedTest
+    @ValueSource(longs = {1500, 2500, 4000})
+    void lateCallForTheFormerIncarnationDoesNotExtendTheLeaseOfTheNextOne(long lateMillis) {
+        SimFleet fleet = SimFleet.withEndlessTasks(1);
+        fleet.time.run(6000);
+        setLate(fleet, 1, lateMillis);
+        fleet.time.run(1600);
+        setLate(fleet, 0, lateMillis);
+        fleet.workers.values().forEach(SimWorker::restart);
+        fleet.workers.values().forEach(fleet::register);
+        fleet.time.run(700);
+        fleet.submit(12);
+        fleet.time.run(lateMillis - 600);
+        isolate(
+                fleet,
+                fleet.workers.values().stream()
+                        .filter(w -> !w.report().running().isEmpty())
+                        .toList());
+        fleet.time.run(20_000);
+        assertThat(fleet.checks.violations(), empty());
+    }
+
+    /** Calls are in flight as above, and the owner is killed before the workers are cut off. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void nextOwnerDoesNotReplaceRunsOfIncarnationsThatItCannotReach(long seed) {
+        SimFleet fleet = busyFleet(seed);
+        for (int round = 0; round < ROUNDS; round++) {
+            Set<SimWorker> restarted = restartWorkers(fleet);
+            submitFor(fleet, 100 + fleet.random.nextInt(1600));
+            SimFleet.Daemon owner = fleet.holder();
+            fleet.kill(owner.name);
+            submitFor(fleet, fleet.random.nextInt(600));
+            isolate(fleet, restarted);
+            submitFor(fleet, 1000);
+            fleet.boot(owner.name);
+            isolate(fleet, restarted);
+            submitFor(fleet, 8000 + fleet.random.nextInt(12_000));
+            isolate(fleet, List.of());
+            submitFor(fleet, 3000);
+        }
+        assertThat("seed " + seed, fleet.checks.violations(), empty());
+        fleet.time.run(40_000);
+        assertThat("seed " + seed, fleet.unfinished(), empty());
+        assertThat("seed " + seed, fleet.checks.violations(), empty());
+    }
+
+    /** Sets the share of calls that get no answer, and when they are carried out. */
+    private static void setLate(SimFleet fleet, double share, long millis) {
+        for (SimFleet.Daemon daemon : fleet.daemons.values()) {
+            daemon.orders.setLateInTransit();
+            daemon.orders.setLateMillis(millis);
+            daemon.orders.setLateShare(share);
+        }
+    }
+
+    private static SimFleet busyFleet(long seed) {
+        SimFleet fleet = SimFleet.withTaskMillis(seed, LONG_TASK_MILLIS);
+        fleet.workers.values().forEach(SimWorker::setSlowRuns);
+        fleet.daemons.values().forEach(d -> d.orders.setRetransmitting());
+        submitFor(fleet, 3000);
+        return fleet;
+    }
+
+    private static void submitFor(SimFleet fleet, long millis) {
+        long end = fleet.time.millis() + millis;
+        while (fleet.time.millis() < end) {
+            fleet.submit(1 + fleet.random.nextInt(4));
+            fleet.time.run(Math.min(250, end - fleet.time.millis()));
+        }
+    }
+
+    /** Restarts half of the workers, which register a little later. */
+    private static Set<SimWorker> restartWorkers(SimFleet fleet) {
+        Set<SimWorker> restarted = new LinkedHashSet<>();
+        int index = 0;
+        for (SimWorker worker : List.copyOf(fleet.workers.values())) {
+            if (index++ % 2 == 0) {
+                restarted.add(worker);
+                worker.crash();
+            }
+        }
+        submitFor(fleet, 300 + fleet.random.nextInt(600));
+        for (SimWorker worker : restarted) {
+            worker.restart();
+            fleet.time.afterMillis(fleet.random.nextInt(150), () -> fleet.register(worker));
+        }
+        return restarted;
+    }
+
+    private static void isolate(SimFleet fleet, Collection<SimWorker> workers) {
+        Set<WorkerId> cut = new HashSet<>();
+        workers.forEach(w -> cut.add(w.id));
+        fleet.daemons.values().forEach(d -> d.orders.setCut(cut));
+    }
+}
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/RecordWriterTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/RecordWriterTest.java
@@ -193,6 +193,9 @@
                 false);
     }
 
+    @Override
+    public void onConfirmed(long revision) {}
+
     @Override
     public void onWritten() {
         // The tests read the store instead.
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
@@ -97,6 +97,11 @@
         return new SimFleet(seed, false, WORKERS, TestLimits.USUAL, Optional.empty(), 0, 0);
     }
 
+    /** Starts a fleet in which tasks take the given time. */
+    static SimFleet withTaskMillis(long seed, long millis) {
+        return new SimFleet(seed, false, WORKERS, TestLimits.USUAL, Optional.empty(), 0, millis);
+    }
+
     private SimFleet(
             long seed,
             boolean advised,
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimOrders.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimOrders.java
@@ -22,6 +22,7 @@
 final class SimOrders implements WorkerOrders {
     private static final long LATENCY_MILLIS = 2;
     private static final long TIMEOUT_MILLIS = 800;
+    private static final long RETRANSMISSION_MILLIS = 20;
 
     private final SimTime time;
     private final Random random;
@@ -29,6 +30,8 @@
     private final Set<WorkerId> cut = new HashSet<>();
     private double lateShare;
     private boolean inTransit;
+    private boolean retransmitting;
+    private OptionalLong lateMillis = OptionalLong.empty();
     private Optional<SimLoop> loop = Optional.empty();
     private long passNanos;
 
@@ -54,6 +57,19 @@
         inTransit = true;
     }
 
+    /** Sets when late orders are executed, in milliseconds after they were sent. */
+    void setLateMillis(long millis) {
+        lateMillis = OptionalLong.of(millis);
+    }
+
+    /**
+     * Delivers calls to a worker that is down once it is back, if their time-out has not passed: a
+     * connection is requested again until then.
+     */
+    void setRetransmitting() {
+        retransmitting = true;
+    }
+
     /**
      * Lets each call use processor time of the loop of its sender: once to connect, once to send
      * and once to read the answer. The time-out of a call does not wait for these.
@@ -189,7 +205,7 @@
             fail.accept(Kind.NO_ANSWER);
             int incarnation = worker.incarnation();
             time.afterMillis(
-                    2000 + random.nextInt(10_000),
+                    lateMillis.orElseGet(() -> 2000 + random.nextInt(10_000)),
                     () -> {
                         boolean reaches = inTransit || worker.incarnation() == incarnation;
                         if (reaches && !worker.isDown()) {
@@ -205,12 +221,37 @@
                         answerLater(() -> emitter.fail(lost(Kind.NOT_SENT)));
                     } else if (worker.isUnresponsive()) {
                         fail.accept(Kind.NO_ANSWER);
+                        if (retransmitting) {
+                            retransmit(worker, timeoutMillis, action, emitter);
+                        }
                     } else {
                         action.execute(worker, emitter);
                     }
                 });
     }
 
+    private <T> void retransmit(
+            SimWorker worker,
+            long millisLeft,
+            OrderAction<T> action,
+            UniEmitter<? super T> emitter) {
+        if (millisLeft <= 0) {
+            return;
+        }
+        time.afterMillis(
+                RETRANSMISSION_MILLIS,
+                () -> {
+                    if (cut.contains(worker.id)) {
+                        return;
+                    }
+                    if (worker.isDown()) {
+                        retransmit(worker, millisLeft - RETRANSMISSION_MILLIS, action, emitter);
+                    } else if (!worker.isUnresponsive()) {
+                        action.execute(worker, emitter);
+                    }
+                });
+    }
+
     private static OrderException lost(Kind kind) {
         return new OrderException(kind, "connection lost", true);
     }
