Keep a task back while the next incarnation of its worker may start it

Cause: a start without an answer may be carried out seconds later, by the next incarnation of its worker. When the worker fell silent, all of its runs counted as ended with the leases that its owner had given, 4.9 s after the last answer, also those that nobody had seen begin; and a run that a report had shown counted as ended with its incarnation although a second call for its start was still open.

A run now counts as ended with an incarnation or its leases only if that incarnation has listed it or answered for it (its clock tells it from the next one), and no call for its start is open. For the others the task waits until the next incarnation has answered and shut out what came before; or its host is not up; or the last call that extends a lease is 15 s old, so that it is carried out no more, and the longest lease has ended since. The hosts are read only while such a task waits.

--- a/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
@@ -1,6 +1,7 @@
 package org.crocusgrade.core.schedule;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * One run of a task on one worker, tracked from its start order until it is certain that the run
@@ -30,6 +31,8 @@
     private long absenceProvableAfterNanos;
     private long stopSentNanos;
     private boolean listed;
+    private boolean answered;
+    private OptionalLong lateUntilNanos = OptionalLong.empty();
     private boolean absentSinceUncertain;
     private boolean stopInFlight;
     private boolean stopSent;
@@ -214,14 +217,33 @@
         return stopReason;
     }
 
-    /**
-     * Returns whether a report of this incarnation of the worker has shown the run. An answer to a
-     * start order does not identify the incarnation that sent it.
-     */
+    /** Returns whether a report of this incarnation of the worker has shown the run. */
     boolean isListed() {
         return listed;
     }
 
+    /** Records that this incarnation of the worker has answered the start order. */
+    public void setAnswered() {
+        answered = true;
+    }
+
+    /** Records that the worker may carry out a call for the start until a time. */
+    public void setLateUntil(long nanos) {
+        lateUntilNanos = OptionalLong.of(nanos);
+    }
+
+    /** Returns whether a call for the start can still reach the next incarnation of the worker. */
+    boolean mayBeStartedLate(long now) {
+        return lateUntilNanos.isPresent() && now - lateUntilNanos.getAsLong() <= 0;
+    }
+
+    /**
+     * Returns whether the next incarnation of the worker neither executes the run nor may start it.
+     */
+    boolean isConfined(long now) {
+        return (listed || answered) && !mayBeStartedLate(now);
+    }
+
     /** Returns the time after which a report must be requested to prove that the run is absent. */
     long absenceProvableAfterNanos() {
         return absenceProvableAfterNanos;
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -206,18 +206,14 @@
 
     /**
      * Marks an incarnation of a worker as ended while the next one may already be running under the
-     * same name. A run that no report has shown may have been started by the next incarnation, so
-     * its task stays blocked until that incarnation has reported.
+     * same name. A run that no report has shown, or that the next incarnation may still start,
+     * blocks its task until that incarnation has reported.
      *
      * @return whether such runs are left
      */
-    public boolean incarnationEnded(WorkerNode worker) {
+    public boolean incarnationEnded(WorkerNode worker, long now) {
         crashes.onEnded(worker);
-        for (Placement placement : List.copyOf(worker.placements())) {
-            if (placement.isListed()) {
-                worker.remove(placement);
-            }
-        }
+        worker.removeRuns(p -> p.isListed() && !p.mayBeStartedLate(now));
         worker.setSilent(true);
         worker.setUsable(false);
         return !worker.placements().isEmpty();
--- a/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.crocusgrade.core.id.HostId;
 import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.submission.Resources;
@@ -392,6 +393,18 @@
         }
     }
 
+    /**
+     * Removes the runs that have ended with the incarnation or its leases, but not those that the
+     * next incarnation may have started, or may still start.
+     */
+    public void removeConfinedRuns(long now) {
+        removeRuns(p -> p.isConfined(now));
+    }
+
+    void removeRuns(Predicate<Placement> which) {
+        List.copyOf(placements.values()).stream().filter(which).forEach(this::remove);
+    }
+
     private static Resources demand(Placement placement) {
         return placement.task().step().spec().demand();
     }
--- a/core/src/test/java/org/crocusgrade/core/schedule/WorkerFailuresTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/WorkerFailuresTest.java
@@ -96,7 +96,7 @@
         List<Placement> starts = pool.starts();
         assertThat(starts, hasSize(2));
         pool.answer(starts.get(0), StartAnswer.STARTED);
-        assertThat(pool.scheduler.incarnationEnded(last), is(true));
+        assertThat(pool.scheduler.incarnationEnded(last, pool.now()), is(true));
         WorkerNode next = pool.worker("w1", "r1");
         pool.scheduler.addNextIncarnation(last, next, pool.now());
         pool.worker("w2", "r2");
--- /dev/null
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FormerRuns.java
@@ -0,0 +1,106 @@
+package org.crocusgrade.daemon.batch;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.crocusgrade.core.id.ServiceId;
+import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.schedule.PoolScheduler;
+import org.crocusgrade.daemon.log.Event;
+
+/**
+ * Settles a pool after a takeover: determines when the runs of the former owners are accounted for,
+ * so that no task is started that one of them may be executing.
+ */
+final class FormerRuns {
+    /**
+     * Maximum time after a takeover for which a lease granted by the former owner may last: the
+     * time for which it extends leases without a confirmation of the duty, plus one run lease.
+     */
+    private static final Duration FORMER_LEASE_EXPIRY =
+            PoolOwner.MAX_CONFIRMATION_AGE.plusMillis(5000);
+
+    private final BatchRuntime runtime;
+    private final ServiceId service;
+    private final PoolScheduler scheduler;
+    private final DutyView duty;
+    private final long tookOverNanos;
+
+    /** Workers that may execute runs of an earlier owner; empty until the host list was read. */
+    private Optional<Set<WorkerId>> workersToFence = Optional.empty();
+
+    FormerRuns(BatchRuntime runtime, ServiceId service, PoolScheduler scheduler, DutyView duty) {
+        this.runtime = runtime;
+        this.service = service;
+        this.scheduler = scheduler;
+        this.duty = duty;
+        tookOverNanos = runtime.clock().nanoTime();
+    }
+
+    /** Settles the pool if the sessions with its workers show that all runs are accounted for. */
+    void settle(Map<WorkerId, WorkerSession> sessions) {
+        if (scheduler.isSettled()) {
+            return;
+        }
+        boolean inherited =
+                scheduler.submissions().stream()
+                        .anyMatch(s -> s.isInherited() && !s.outcome().isFinal());
+        boolean known = areAllKnown(sessions);
+        long age = runtime.clock().nanoTime() - tookOverNanos;
+        long expiryNanos = tookOverNanos + FORMER_LEASE_EXPIRY.toNanos();
+        boolean expired =
+                age > FORMER_LEASE_EXPIRY.toNanos()
+                        && duty.wasHeldAt(expiryNanos)
+                        && sessions.values().stream().noneMatch(this::isReadingEnds);
+        if (!inherited || known || expired) {
+            scheduler.setSettled();
+            runtime.log().log(
+                    Event.POOL_SETTLED,
+                    "pool",
+                    service,
+                    "fenced",
+                    known,
+                    "after-ms",
+                    Duration.ofNanos(age).toMillis(),
+                    "submissions",
+                    scheduler.submissions().size());
+        }
+    }
+
+    /**
+     * Returns whether every worker that may execute a run of an earlier owner has been fenced, and
+     * has listed all runs that it began before.
+     */
+    private boolean areAllKnown(Map<WorkerId, WorkerSession> sessions) {
+        return workersToFence.isPresent()
+                && workersToFence.get().stream()
+                        .allMatch(
+                                w ->
+                                        sessions.containsKey(w)
+                                                && sessions.get(w).areFormerRunsKnown());
+    }
+
+    /**
+     * Returns whether a worker that has answered has yet to list ends of earlier runs. The expiry
+     * of leases proves nothing for these: a run that is done must not be started again. A worker
+     * that falls silent meanwhile is waited for only until its leases have ended.
+     */
+    private boolean isReadingEnds(WorkerSession session) {
+        return session.isFenced()
+                && !session.areFormerRunsKnown()
+                && !session.areLeasesExpired(duty);
+    }
+
+    /**
+     * Sets the workers on the pool's hosts that are up, as read after the takeover. The runs on a
+     * worker end when its host fails, moves or enters maintenance, so a worker that is missing from
+     * a later list can no longer have runs of an earlier owner.
+     */
+    void onLiveWorkers(Set<WorkerId> live) {
+        Set<WorkerId> next = new HashSet<>(live);
+        workersToFence.ifPresent(next::retainAll);
+        workersToFence = Optional.of(next);
+    }
+}
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/OrderSender.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/OrderSender.java
@@ -72,7 +72,10 @@
         new RepeatedOrder<>(
                         runtime,
                         orderDelay,
-                        () -> runtime.orders().start(session.target(), order),
+                        () -> {
+                            lease.recordCall();
+                            return runtime.orders().start(session.target(), order);
+                        },
                         () -> !session.isClosed() && placement.isStarting(),
                         new RepeatedOrder.Result<StartReply>() {
                             @Override
@@ -94,7 +97,7 @@
     }
 
     private void onStarted(Placement placement, StartReply reply, boolean repeated) {
-        reply.clockMillis().ifPresent(lease::calibrate);
+        reply.clockMillis().ifPresent(c -> onClock(placement, c));
         StartAnswer answer =
                 switch (reply.outcome()) {
                     case STARTED -> StartAnswer.STARTED;
@@ -114,6 +117,13 @@
         }
     }
 
+    private void onClock(Placement placement, long clock) {
+        if (lease.isSameClock(clock)) {
+            placement.setAnswered();
+        }
+        lease.calibrate(clock);
+    }
+
     private void onStartFailure(Placement placement, Throwable failure, boolean mayHaveArrived) {
         StartAnswer answer = mayHaveArrived ? StartAnswer.UNKNOWN : StartAnswer.NOT_SENT;
         listener.onStartAnswer(session, placement, answer, String.valueOf(failure.getMessage()));
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
@@ -12,6 +12,8 @@
 import java.util.TreeMap;
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.port.HostControl.PooledHost;
+import org.crocusgrade.core.port.HostControl.State;
 import org.crocusgrade.core.port.WorkerEntry;
 import org.crocusgrade.core.schedule.Order;
 import org.crocusgrade.core.schedule.Placement;
@@ -28,22 +30,12 @@
  * workers are fenced and whose leases have expired.
  */
 final class PoolWorkers {
-    /**
-     * Maximum time after a takeover for which a lease granted by the former owner may last: the
-     * time for which it extends leases without a confirmation of the duty, plus one run lease.
-     */
-    private static final Duration FORMER_LEASE_EXPIRY =
-            PoolOwner.MAX_CONFIRMATION_AGE.plusMillis(5000);
-
-    /**
-     * How long a start of a task that is open, sent to one incarnation of a worker, blocks the task
-     * while the next one has not registered.
-     */
-    private static final Duration MAX_ORDER_DELAY = Duration.ofSeconds(6);
-
     /** Half of an order's time-out: a repetition that is sent later hardly helps. */
     private static final Duration MAX_REPEAT_DELAY = Duration.ofMillis(400);
 
+    /** Minimum time between reads of the host list, in milliseconds. */
+    private static final long HOSTS_READ_MILLIS = 400;
+
     private final BatchRuntime runtime;
     private final ServiceId service;
     private final PoolScheduler scheduler;
@@ -52,16 +44,15 @@
     private final LateStarts lateStarts = new LateStarts();
     private final RepeatDelay orderDelay = new RepeatDelay(MAX_REPEAT_DELAY);
     private final FencingTokens tokens;
+    private final FormerRuns formerRuns;
     private final Map<WorkerId, WorkerSession> sessions = new TreeMap<>();
     private final Map<WorkerId, EndedIncarnation> endedIncarnations = new HashMap<>();
+    private boolean readingHosts;
     private final long tookOverNanos;
     private boolean stopped;
     private Map<WorkerId, WorkerEntry> registered = Map.of();
     private Set<WorkerId> evacuating = Set.of();
 
-    /** Workers that may execute runs of an earlier owner; empty until the host list was read. */
-    private Optional<Set<WorkerId>> workersToFence = Optional.empty();
-
     PoolWorkers(
             BatchRuntime runtime,
             ServiceId service,
@@ -75,9 +66,15 @@
         this.duty = duty;
         this.listener = listener;
         tokens = new FencingTokens(runtime, ownership, this::openWaiting);
+        formerRuns = new FormerRuns(runtime, service, scheduler, duty);
         tookOverNanos = runtime.clock().nanoTime();
     }
 
+    /** Sets the workers on the pool's hosts that are up, as read after the takeover. */
+    void onLiveWorkers(Set<WorkerId> live) {
+        formerRuns.onLiveWorkers(live);
+    }
+
     Collection<WorkerSession> sessions() {
         return sessions.values();
     }
@@ -180,7 +177,14 @@
                         entry.capacity());
         node.setEvacuating(evacuating.contains(entry.worker()));
         WorkerSession session =
-                new WorkerSession(runtime, node, entry, token.getAsLong(), orderDelay, listener);
+                new WorkerSession(
+                        runtime,
+                        node,
+                        entry,
+                        token.getAsLong(),
+                        last == null ? OptionalLong.empty() : last.lastCallNanos,
+                        orderDelay,
+                        listener);
         sessions.put(entry.worker(), session);
         endedIncarnations.remove(entry.worker());
         if (last == null) {
@@ -207,6 +211,7 @@
     void onStartUnanswered(Placement placement, long sentNanos) {
         WorkerId worker = placement.worker().id();
         lateStarts.add(worker, placement.task().id(), placement.run(), sentNanos);
+        placement.setLateUntil(sentNanos + LateStarts.MAX_DELAY.toNanos());
     }
 
     /**
@@ -251,106 +256,132 @@
      * incarnations and expired leases.
      */
     void tick() {
-        settle();
+        formerRuns.settle(sessions);
         lateStarts.removeOld(runtime.clock().nanoTime());
-        removeOldIncarnations();
+        Set<WorkerId> unresolved = removeOldIncarnations();
         for (WorkerSession session : List.copyOf(sessions.values())) {
-            if (areLeasesExpired(session)) {
-                onLeasesExpired(session);
+            boolean expired = session.areLeasesExpired(duty);
+            boolean clear =
+                    expired
+                            ? onLeasesExpired(session)
+                            : session.isFenced() || clearIfUnreachable(session);
+            if (!clear) {
+                unresolved.add(session.node().id());
             }
         }
+        if (!unresolved.isEmpty()) {
+            readHosts(unresolved);
+        }
     }
 
     /**
-     * Returns whether the leases of a worker's runs have certainly ended. A worker that this owner
-     * does not reach may be reached by the next one, which extends them, so they count as ended
-     * only if there was no other owner before their end.
+     * Removes the runs of a worker whose leases have expired, but not those that its next
+     * incarnation may execute while neither is reached. For example, a start that got no answer is
+     * carried out 12 s later, and its lease lasts 6 s from then on.
+     *
+     * @return whether none is left
      */
-    private boolean areLeasesExpired(WorkerSession session) {
-        return session.areLeasesExpired() && duty.wasHeldAt(session.leasesEndNanos());
-    }
-
-    private void settle() {
-        if (scheduler.isSettled()) {
-            return;
+    private boolean onLeasesExpired(WorkerSession session) {
+        WorkerNode node = session.node();
+        int before = node.placements().size();
+        node.removeConfinedRuns(runtime.clock().nanoTime());
+        int ended = before - node.placements().size();
+        if (ended > 0) {
+            logLapsed(session, ended, session.leasesEndNanos());
         }
-        boolean inherited =
-                scheduler.submissions().stream()
-                        .anyMatch(s -> s.isInherited() && !s.outcome().isFinal());
-        boolean known = areAllFormerRunsKnown();
-        long age = runtime.clock().nanoTime() - tookOverNanos;
-        long expiryNanos = tookOverNanos + FORMER_LEASE_EXPIRY.toNanos();
-        boolean expired =
-                age > FORMER_LEASE_EXPIRY.toNanos()
-                        && duty.wasHeldAt(expiryNanos)
-                        && sessions.values().stream().noneMatch(this::isReadingEnds);
-        if (!inherited || known || expired) {
-            scheduler.setSettled();
-            runtime.log().log(
-                    Event.POOL_SETTLED,
-                    "pool",
-                    service,
-                    "fenced",
-                    known,
-                    "after-ms",
-                    Duration.ofNanos(age).toMillis(),
-                    "submissions",
-                    scheduler.submissions().size());
+        if (!clearIfUnreachable(session)) {
+            return false;
         }
+        if (!session.isRegistered()) {
+            close(session, "silent and no longer registered");
+        }
+        return true;
     }
 
     /**
-     * Returns whether every worker that may execute a run of an earlier owner has been fenced, and
-     * has listed all runs that it began before.
+     * Removes the runs that the next incarnation of a worker may execute once it can no longer do
+     * so: the last call that extends a lease is too old to be carried out, and its lease has ended.
+     *
+     * @return whether none is left
      */
-    private boolean areAllFormerRunsKnown() {
-        return workersToFence.isPresent()
-                && workersToFence.get().stream()
-                        .allMatch(
-                                w ->
-                                        sessions.containsKey(w)
-                                                && sessions.get(w).areFormerRunsKnown());
+    private boolean clearIfUnreachable(WorkerSession session) {
+        WorkerNode node = session.node();
+        long end = callsEndNanos(session.lastCallNanos());
+        boolean mayRun = runtime.clock().nanoTime() - end <= 0 || !duty.wasHeldAt(end);
+        if (!node.placements().isEmpty()) {
+            if (mayRun) {
+                return false;
+            }
+            logLapsed(session, node.placements().size(), end);
+        }
+        scheduler.clearRuns(node);
+        return true;
     }
 
-    /**
-     * Returns whether a worker that has answered has yet to list ends of earlier runs. The expiry
-     * of leases proves nothing for these: a run that is done must not be started again. A worker
-     * that falls silent meanwhile is waited for only until its leases have ended.
-     */
-    private boolean isReadingEnds(WorkerSession session) {
-        return session.isFenced() && !session.areFormerRunsKnown() && !areLeasesExpired(session);
+    private long callsEndNanos(OptionalLong lastCallNanos) {
+        long last = lastCallNanos.orElse(tookOverNanos);
+        return last + LateStarts.MAX_DELAY.plus(RunLease.longest(runtime.limits())).toNanos();
+    }
+
+    private void logLapsed(WorkerSession session, int runs, long endNanos) {
+        runtime.log().log(
+                Event.WORKER_LAPSED,
+                "pool",
+                service,
+                "worker",
+                session.node().id(),
+                "runs",
+                runs,
+                "unresolved",
+                session.node().placements().size(),
+                "ended-ms-ago",
+                Duration.ofNanos(runtime.clock().nanoTime() - endNanos).toMillis());
     }
 
     /**
-     * Sets the workers on the pool's hosts that are up, as read after the takeover. The runs on a
-     * worker end when its host fails, moves or enters maintenance, so a worker that is missing from
-     * a later list can no longer have runs of an earlier owner.
+     * Reads the hosts, to find workers that are gone: what may run on a worker whose host fails,
+     * moves or enters maintenance has ended.
      */
-    void onLiveWorkers(Set<WorkerId> live) {
-        Set<WorkerId> next = new HashSet<>(live);
-        workersToFence.ifPresent(next::retainAll);
-        workersToFence = Optional.of(next);
+    private void readHosts(Set<WorkerId> unresolved) {
+        if (readingHosts) {
+            return;
+        }
+        readingHosts = true;
+        runtime.hosts()
+                .hosts()
+                .emitOn(runtime.loop())
+                .subscribe()
+                .with(
+                        h -> {
+                            Set<WorkerId> gone = new HashSet<>(unresolved);
+                            gone.removeAll(live(service, h));
+                            gone.forEach(this::onGone);
+                            runtime.after(HOSTS_READ_MILLIS, () -> readingHosts = false);
+                        },
+                        f -> runtime.after(HOSTS_READ_MILLIS, () -> readingHosts = false));
     }
 
-    private void onLeasesExpired(WorkerSession session) {
-        WorkerNode node = session.node();
-        if (!node.placements().isEmpty()) {
-            runtime.log().log(
-                    Event.WORKER_LAPSED,
-                    "pool",
-                    service,
-                    "worker",
-                    node.id(),
-                    "runs",
-                    node.placements().size(),
-                    "ended-ms-ago",
-                    Duration.ofNanos(runtime.clock().nanoTime() - session.leasesEndNanos())
-                            .toMillis());
-            scheduler.clearRuns(node);
+    private void onGone(WorkerId worker) {
+        EndedIncarnation ended = endedIncarnations.get(worker);
+        if (ended != null) {
+            scheduler.removeWorker(ended.node);
         }
-        if (!session.isRegistered()) {
-            close(session, "silent and no longer registered");
+        WorkerSession session = sessions.get(worker);
+        boolean silent = session != null && (session.areLeasesExpired(duty) || !session.isFenced());
+        if (silent && !stopped) {
+            scheduler.clearRuns(session.node());
+        }
+    }
+
+    /** Returns the workers on those of the hosts that are up in a pool. */
+    static Set<WorkerId> live(ServiceId service, List<PooledHost> hosts) {
+        Set<WorkerId> live = new HashSet<>();
+        for (PooledHost host : hosts) {
+            if (host.pool().equals(service) && host.state() == State.UP) {
+                host.worker().ifPresent(live::add);
+            }
         }
+        return live;
     }
 
     /** Removes a worker whose incarnation has certainly ended. */
@@ -365,7 +396,7 @@
         sessions.remove(node.id(), session);
         endedIncarnations.put(
                 node.id(),
-                new EndedIncarnation(node, session.target().token(), runtime.clock().nanoTime()));
+                new EndedIncarnation(node, session.target().token(), session.lastCallNanos()));
         log(node, reason);
     }
 
@@ -375,23 +406,27 @@
      * runs.
      */
     void incarnationEnded(WorkerSession session, String reason) {
-        if (scheduler.incarnationEnded(session.node())) {
+        if (scheduler.incarnationEnded(session.node(), runtime.clock().nanoTime())) {
             end(session, reason);
         } else {
             close(session, reason);
         }
     }
 
-    private void removeOldIncarnations() {
+    /** Forgets the incarnations of which no call has an effect; returns those with open runs. */
+    private Set<WorkerId> removeOldIncarnations() {
         long now = runtime.clock().nanoTime();
-        for (EndedIncarnation ended : endedIncarnations.values()) {
-            if (now - ended.sinceNanos > MAX_ORDER_DELAY.toNanos()) {
+        Set<WorkerId> unresolved = new HashSet<>();
+        for (EndedIncarnation ended : List.copyOf(endedIncarnations.values())) {
+            long end = callsEndNanos(ended.lastCallNanos);
+            if (now - end > 0 && duty.wasHeldAt(end)) {
                 scheduler.removeWorker(ended.node);
+                endedIncarnations.remove(ended.node.id());
+            } else if (!ended.node.placements().isEmpty()) {
+                unresolved.add(ended.node.id());
             }
         }
-        endedIncarnations
-                .values()
-                .removeIf(l -> now - l.sinceNanos > LateStarts.MAX_DELAY.toNanos());
+        return unresolved;
     }
 
     private void log(WorkerNode node, String reason) {
@@ -403,6 +438,7 @@
      * An ended incarnation of a worker, with orders that may reach the next one.
      *
      * @param token the fencing token of these orders
+     * @param lastCallNanos when a call that extends its leases was last sent
      */
-    private record EndedIncarnation(WorkerNode node, long token, long sinceNanos) {}
+    private record EndedIncarnation(WorkerNode node, long token, OptionalLong lastCallNanos) {}
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/RunLease.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RunLease.java
@@ -26,6 +26,9 @@
     /** Slowest rate of a worker's clock that the interface of the platform allows. */
     private static final double SLOWEST_CLOCK = 0.98;
 
+    /** Longest time in which an answer arrives, in milliseconds: above all time-outs of calls. */
+    private static final long MAX_ANSWER_MILLIS = 3000;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final BatchRuntime runtime;
@@ -34,6 +37,7 @@
     private long clockReadNanos;
     private long untilMillis;
     private long formerUntilMillis;
+    private OptionalLong lastCallNanos = OptionalLong.empty();
 
     RunLease(BatchRuntime runtime) {
         this.runtime = runtime;
@@ -44,6 +48,25 @@
         return Duration.ofNanos((long) (limits.maxRunLease().toNanos() / SLOWEST_CLOCK));
     }
 
+    /**
+     * Returns whether an answer that shows a clock is certainly of the incarnation that has
+     * answered before: the clock of the next one starts after that answer was sent.
+     */
+    boolean isSameClock(long clock) {
+        long passed = (runtime.clock().nanoTime() - clockReadNanos) / NANOS_PER_MILLI;
+        return calibrated && clock * SLOWEST_CLOCK > passed + MAX_ANSWER_MILLIS;
+    }
+
+    /** Records that a call is sent that extends the lease of the incarnation that it reaches. */
+    void recordCall() {
+        lastCallNanos = OptionalLong.of(runtime.clock().nanoTime());
+    }
+
+    /** Returns when a call that extends the lease was last sent, on the monotonic clock. */
+    OptionalLong lastCallNanos() {
+        return lastCallNanos;
+    }
+
     /** Records the worker's clock, as shown in an answer that has just come. */
     void calibrate(long clock) {
         if (!calibrated) {
@@ -60,6 +83,7 @@
         long most = runtime.limits().maxRunLease().toMillis();
         long until = clockMillis + passed + Math.min(DURATION_MILLIS, most);
         untilMillis = Math.max(untilMillis, until);
+        recordCall();
         return untilMillis;
     }
 
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -69,6 +69,7 @@
     private boolean closed;
     private final RepeatDelay pollDelay = new RepeatDelay(POLL_WAIT);
     private final RunLease lease;
+    private final OptionalLong formerCallNanos;
     private final OrderSender orderSender;
     private Optional<PollRound> round = Optional.empty();
     private long listedEnd;
@@ -90,16 +91,19 @@
      * Creates a session.
      *
      * @param token a fencing token above those of the worker's former incarnations
+     * @param formerCallNanos when a call that extends a lease was last sent to one of these
      */
     WorkerSession(
             BatchRuntime runtime,
             WorkerNode node,
             WorkerEntry entry,
             long token,
+            OptionalLong formerCallNanos,
             RepeatDelay orderDelay,
             Listener listener) {
         this.runtime = runtime;
         this.node = node;
+        this.formerCallNanos = formerCallNanos;
         lease = new RunLease(runtime);
         this.target = new Target(entry.worker(), entry.address(), token);
         this.listener = listener;
@@ -170,9 +174,13 @@
         return closed;
     }
 
-    /** Returns whether the leases of all runs have ended, unless another owner extends them. */
-    boolean areLeasesExpired() {
-        return failures > 0 && lease.isExpired();
+    /**
+     * Returns whether the leases of all runs have certainly ended. A worker that this owner does
+     * not reach may be reached by the next one, which extends them, so they count as ended only if
+     * there was no other owner before their end.
+     */
+    boolean areLeasesExpired(DutyView duty) {
+        return failures > 0 && lease.isExpired() && duty.wasHeldAt(leasesEndNanos());
     }
 
     /** Returns when the leases of all runs end at the latest, unless another owner extends them. */
@@ -180,6 +188,15 @@
         return lease.endNanos();
     }
 
+    /**
+     * Returns when a call that extends the leases was last sent to an incarnation of the worker, on
+     * the monotonic clock.
+     */
+    OptionalLong lastCallNanos() {
+        OptionalLong last = lease.lastCallNanos();
+        return last.isPresent() ? last : formerCallNanos;
+    }
+
     /** Polls immediately if the next poll waits only for listed ends to be stored. */
     void onStored() {
         if (round.isEmpty() && failures == 0 && fenced && node.ackCursor() >= listedEnd) {
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FormerIncarnationTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FormerIncarnationTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.stream.LongStream;
 import org.crocusgrade.core.id.WorkerId;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -99,6 +100,50 @@
         assertThat("seed " + seed, fleet.checks.violations(), empty());
     }
 
+    /**
+     * A start that gets no answer is carried out by the next incarnation of its worker, which its
+     * owner does not reach.
+     *
+     * @param lateMillis when it is carried out, after it was sent
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1000, 2500, 4000, 6000, 9000, 12_000})
+    void unansweredStartThatTheNextIncarnationCarriesOutRunsNowhereElse(long lateMillis) {
+        SimFleet fleet = SimFleet.withEndlessTasks(1);
+        List<SimWorker> workers = List.copyOf(fleet.workers.values()).subList(0, 2);
+        fleet.time.run(20_000);
+        setLate(fleet, 1, lateMillis);
+        fleet.submit(8);
+        fleet.time.run(100);
+        isolate(fleet, workers);
+        workers.forEach(SimWorker::crash);
+        fleet.time.run(500);
+        workers.forEach(SimWorker::restart);
+        setLate(fleet, 0, lateMillis);
+        fleet.time.run(40_000);
+        assertThat(fleet.checks.violations(), empty());
+        isolate(fleet, List.of());
+        fleet.time.run(20_000);
+        assertThat(fleet.checks.violations(), empty());
+    }
+
+    /** Starts to a worker whose host is lost get no answer either, but nobody carries them out. */
+    @Test
+    void unansweredStartsToALostHostDelayTheirTasksOnlyUntilLeasesHaveEnded() {
+        SimFleet fleet = SimFleet.withTaskMillis(1, LONG_TASK_MILLIS);
+        List<SimWorker> workers = List.copyOf(fleet.workers.values()).subList(0, 2);
+        fleet.time.run(1000);
+        setLate(fleet, 1, 12_000);
+        fleet.submit(8);
+        fleet.time.run(100);
+        workers.forEach(fleet::lose);
+        fleet.time.run(500);
+        setLate(fleet, 0, 12_000);
+        fleet.time.run(9000);
+        assertThat(fleet.unfinished(), empty());
+        assertThat(fleet.checks.violations(), empty());
+    }
+
     /** Sets the share of calls that get no answer, and when they are carried out. */
     private static void setLate(SimFleet fleet, double share, long millis) {
         for (SimFleet.Daemon daemon : fleet.daemons.values()) {
