Wait after a takeover for calls that the former owner sent to former incarnations

A new owner that could not reach a worker started the tasks of its pool anew 10 s after the takeover, while the worker, back under its id and cut off, carried out a start of the former owner and ran it (rule TWICE).

Cause: the 10 s were the time for which the former owner may send calls, and the lease that it gives. A call may arrive up to 15 s late, and an incarnation that has begun since grants it the longest lease, as its time is of another clock.

The wait is now the sum of the three: 5 s, 15 s, and hold_max_ms on the slowest clock. It counts only while a worker whose host is up is not reached; every other takeover ends, as before, with the first answers.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FormerRuns.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FormerRuns.java
@@ -15,19 +15,19 @@
  * so that no task is started that one of them may be executing.
  */
 final class FormerRuns {
-    /**
-     * Maximum time after a takeover for which a lease granted by the former owner may last: the
-     * time for which it extends leases without a confirmation of the duty, plus one run lease.
-     */
-    private static final Duration FORMER_LEASE_EXPIRY =
-            PoolOwner.MAX_CONFIRMATION_AGE.plusMillis(5000);
-
     private final BatchRuntime runtime;
     private final ServiceId service;
     private final PoolScheduler scheduler;
     private final DutyView duty;
     private final long tookOverNanos;
 
+    /**
+     * Maximum time after the takeover for which a call of the former owner may keep a run alive:
+     * the time for which it sends calls without a confirmation of the duty, the longest delay of a
+     * call, and one lease. An incarnation that has begun since may grant the longest one.
+     */
+    private final Duration callsExpiry;
+
     /** Workers that may execute runs of an earlier owner; empty until the host list was read. */
     private Optional<Set<WorkerId>> workersToFence = Optional.empty();
 
@@ -37,6 +37,10 @@
         this.scheduler = scheduler;
         this.duty = duty;
         tookOverNanos = runtime.clock().nanoTime();
+        callsExpiry =
+                PoolOwner.MAX_CONFIRMATION_AGE
+                        .plus(LateStarts.MAX_DELAY)
+                        .plus(RunLease.longest(runtime.limits()));
     }
 
     /** Settles the pool if the sessions with its workers show that all runs are accounted for. */
@@ -49,9 +53,9 @@
                         .anyMatch(s -> s.isInherited() && !s.outcome().isFinal());
         boolean known = areAllKnown(sessions);
         long age = runtime.clock().nanoTime() - tookOverNanos;
-        long expiryNanos = tookOverNanos + FORMER_LEASE_EXPIRY.toNanos();
+        long expiryNanos = tookOverNanos + callsExpiry.toNanos();
         boolean expired =
-                age > FORMER_LEASE_EXPIRY.toNanos()
+                age > callsExpiry.toNanos()
                         && duty.wasHeldAt(expiryNanos)
                         && sessions.values().stream().noneMatch(this::isReadingEnds);
         if (!inherited || known || expired) {
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FormerIncarnationTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FormerIncarnationTest.java
@@ -127,6 +127,33 @@
         assertThat(fleet.checks.violations(), empty());
     }
 
+    /**
+     * The same, and the owner is killed right after it has sent the starts.
+     *
+     * @param lateMillis when they are carried out, after they were sent
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {2500, 6000, 9000, 12_000, 14_000})
+    void nextOwnerWaitsForStartsThatTheFormerOneGotNoAnswerTo(long lateMillis) {
+        SimFleet fleet = SimFleet.withEndlessTasks(1);
+        List<SimWorker> workers = List.copyOf(fleet.workers.values()).subList(0, 2);
+        fleet.time.run(20_000);
+        setLate(fleet, 1, lateMillis);
+        fleet.submit(8);
+        fleet.time.run(100);
+        fleet.kill(fleet.holder().name);
+        isolate(fleet, workers);
+        workers.forEach(SimWorker::crash);
+        fleet.time.run(500);
+        workers.forEach(SimWorker::restart);
+        setLate(fleet, 0, lateMillis);
+        fleet.time.run(40_000);
+        assertThat(fleet.checks.violations(), empty());
+        isolate(fleet, List.of());
+        fleet.time.run(20_000);
+        assertThat(fleet.checks.violations(), empty());
+    }
+
     /** Starts to a worker whose host is lost get no answer either, but nobody carries them out. */
     @Test
     void unansweredStartsToALostHostDelayTheirTasksOnlyUntilLeasesHaveEnded() {
