Acknowledge ends only to a worker that answers

Cause: the ends that a worker lists are numbered anew with each incarnation. While a worker was silent, its owner went on to send the last number with each poll. The next incarnation, reached before it had registered, took it for its own and discarded the ends of runs that late starts had begun there. Nobody had seen them, so the tasks started again.

While the last poll has no answer, none carries an acknowledgement any more; the first answer shows which incarnation it is of. Only a poll that was open at the crash and arrives late may still carry one.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -222,9 +222,9 @@
         boolean mayExtend = failures == 0 && listener.mayExtendLeases();
         OptionalLong until = mayExtend ? lease.extendIfCalibrated() : OptionalLong.empty();
         long requestedNanos = runtime.clock().nanoTime();
-        long cursor = node.ackCursor();
+        long cursor = nextAck();
         return runtime.orders()
-                .poll(target, new Poll(until, cursor > acknowledged ? cursor : 0, wait))
+                .poll(target, new Poll(until, cursor, wait))
                 .emitOn(runtime.loop())
                 .subscribe()
                 .with(
@@ -232,6 +232,15 @@
                         f -> onPollFailure(sent, f, repeated));
     }
 
+    /**
+     * Returns the number up to which ends are acknowledged by the next poll; 0 for none. While the
+     * worker is silent, the poll may reach its next incarnation, which counts ends from 1.
+     */
+    private long nextAck() {
+        long cursor = node.ackCursor();
+        return failures == 0 && cursor > acknowledged ? cursor : 0;
+    }
+
     /** Repeats a poll if none of the runs of the worker is seen to end for unusually long. */
     private void scheduleRepetition(PollRound open) {
         if (fenced && failures == 0) {
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FormerIncarnationTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FormerIncarnationTest.java
@@ -154,6 +154,33 @@
         assertThat(fleet.checks.violations(), empty());
     }
 
+    /**
+     * The next incarnation of a worker, which carries out late starts, is reached before it has
+     * registered. The acknowledgement of ends of the former one discards its own ends.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {500, 1000, 2000})
+    void endsOfTheNextIncarnationAreNotAcknowledgedUnseen(long lateMillis) {
+        SimFleet fleet = SimFleet.withTaskMillis(1, SimFleet.TASK_MILLIS);
+        fleet.time.run(20_000);
+        fleet.submit(32);
+        fleet.time.run(1500);
+        setLate(fleet, 1, lateMillis);
+        fleet.submit(8);
+        fleet.time.run(20);
+        List<SimWorker> workers = List.copyOf(fleet.workers.values());
+        isolate(fleet, workers);
+        workers.forEach(SimWorker::restart);
+        setLate(fleet, 0, lateMillis);
+        fleet.time.run(lateMillis + 1500);
+        isolate(fleet, List.of());
+        fleet.time.run(500);
+        workers.forEach(fleet::register);
+        fleet.time.run(30_000);
+        assertThat(fleet.checks.violations(), empty());
+        assertThat(fleet.unfinished(), empty());
+    }
+
     /** Starts to a worker whose host is lost get no answer either, but nobody carries them out. */
     @Test
     void unansweredStartsToALostHostDelayTheirTasksOnlyUntilLeasesHaveEnded() {
