Tell the clock of a worker's next incarnation from that of the former one

An answer to an order does not say which incarnation sent it. If the next one answered and was cut off before it had registered, its clock made the lease of the former one seem hours long, so the tasks there waited until the worker was back (found by reading, LOST).

A reading counts only if it goes with the last one, but for the delay of an answer and 2% of drift. The same decides whether an answer to a start proves that the run is of this incarnation; an incarnation that may be as young as an answer is late proves nothing.

RunLeaseTest.clockOfTheNextIncarnationDoesNotProlongTheLease failed before.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/RunLease.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RunLease.java
@@ -11,10 +11,10 @@
  * C) / 0.98. When that time has passed without an answer, the worker no longer executes any run.
  *
  * <p>Until its first answer, the worker may have carried out calls for its former incarnation. The
- * time that they carry is of that incarnation's clock, which is far ahead, so the lease may be as
- * long as the worker grants. From the first answer on it rejects them (see {@link FencingTokens}).
- * For example, a worker that grants 6000 ms answers for the first time when its clock shows 100,
- * and is then told to continue until 4900. Its runs may last until 6100.
+ * time that they carry is of that incarnation's clock, which may be far ahead, so the lease may be
+ * as long as the worker grants. From the first answer on it rejects them (see {@link
+ * FencingTokens}). For example, a worker that grants 6000 ms answers for the first time when its
+ * clock shows 100, and is then told to continue until 4900. Its runs may last until 6100.
  */
 final class RunLease {
     /**
@@ -27,7 +27,10 @@
     private static final double SLOWEST_CLOCK = 0.98;
 
     /** Longest time in which an answer arrives, in milliseconds: above all time-outs of calls. */
-    private static final long MAX_ANSWER_MILLIS = 3000;
+    private static final long MAX_ANSWER_MILLIS = 2500;
+
+    /** The same for the answer to an order. */
+    private static final long ORDER_ANSWER_MILLIS = 1000;
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
@@ -49,12 +52,29 @@
     }
 
     /**
-     * Returns whether an answer that shows a clock is certainly of the incarnation that has
-     * answered before: the clock of the next one starts after that answer was sent.
+     * Returns whether an answer is of the incarnation that has answered before, by the clock that
+     * it shows. The clock of the next one starts anew, at 0 or anywhere. If it starts at 0, it
+     * cannot be told from that of an incarnation that has just begun itself.
      */
     boolean isSameClock(long clock) {
-        long passed = (runtime.clock().nanoTime() - clockReadNanos) / NANOS_PER_MILLI;
-        return calibrated && clock * SLOWEST_CLOCK > passed + MAX_ANSWER_MILLIS;
+        return calibrated
+                && clockMillis > MAX_ANSWER_MILLIS + ORDER_ANSWER_MILLIS + drift()
+                && isNear(clock, ORDER_ANSWER_MILLIS);
+    }
+
+    /** Returns whether a reading goes with the last one, if one of the two is late. */
+    private boolean isNear(long clock, long lateMillis) {
+        return Math.abs(clockMillis + passed() - clock) <= lateMillis + drift();
+    }
+
+    /** Returns the time since the last reading, in milliseconds. */
+    private long passed() {
+        return (runtime.clock().nanoTime() - clockReadNanos) / NANOS_PER_MILLI;
+    }
+
+    /** Returns by how much the clock may have fallen behind since the last reading. */
+    private long drift() {
+        return (long) Math.ceil(passed() * (1 - SLOWEST_CLOCK));
     }
 
     /** Records that a call is sent that extends the lease of the incarnation that it reaches. */
@@ -67,8 +87,14 @@
         return lastCallNanos;
     }
 
-    /** Records the worker's clock, as shown in an answer that has just come. */
+    /**
+     * Records the worker's clock, as shown in an answer that has just come. A reading that does not
+     * go with the last one is ignored: it is of the next incarnation, or has waited here for long.
+     */
     void calibrate(long clock) {
+        if (calibrated && !isNear(clock, MAX_ANSWER_MILLIS)) {
+            return;
+        }
         if (!calibrated) {
             formerUntilMillis = clock + runtime.limits().maxRunLease().toMillis();
         }
@@ -79,9 +105,8 @@
 
     /** Extends the lease from now on; returns its end, on the worker's clock. */
     long extend() {
-        long passed = (runtime.clock().nanoTime() - clockReadNanos) / NANOS_PER_MILLI;
         long most = runtime.limits().maxRunLease().toMillis();
-        long until = clockMillis + passed + Math.min(DURATION_MILLIS, most);
+        long until = clockMillis + passed() + Math.min(DURATION_MILLIS, most);
         untilMillis = Math.max(untilMillis, until);
         recordCall();
         return untilMillis;
