--- a/core/src/test/java/org/crocusgrade/core/schedule/WorkerFailuresTest.java
+++ b/core/src/test/java/org/crocusgrade/core/schedule/WorkerFailuresTest.java
@@ -5,6 +5,7 @@
 import static org.crocusgrade.core.schedule.Pool.step;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
@@ -111,6 +112,31 @@
         assertThat(pool.starts(), hasSize(2));
     }
 
+    /** Of four runs, three may be started by the next incarnation when the leases have expired. */
+    @Test
+    void runThatMayBeStartedLateIsNotReplacedWhenLeasesHaveExpired() {
+        WorkerNode silent = pool.worker("w1", "r1");
+        pool.submit(false, step(4, 1000));
+        List<Placement> runs = pool.starts();
+        assertThat(runs, hasSize(4));
+        pool.answer(runs.get(0), StartAnswer.UNKNOWN);
+        pool.answer(runs.get(1), StartAnswer.STARTED);
+        runs.get(1).setAnswered();
+        runs.get(1).setLateUntil(pool.now() + Duration.ofSeconds(15).toNanos());
+        pool.answer(runs.get(2), StartAnswer.STARTED);
+        runs.get(2).setAnswered();
+        pool.answer(runs.get(3), StartAnswer.STARTED);
+        pool.advance(Duration.ofSeconds(5));
+        silent.setUsable(false);
+        silent.removeConfinedRuns(pool.now());
+        assertThat(silent.placements(), containsInAnyOrder(runs.get(0), runs.get(1), runs.get(3)));
+        WorkerNode other = pool.worker("w2", "r2");
+        assertThat(pool.starts().stream().map(Placement::worker).toList(), contains(other));
+        pool.advance(Duration.ofSeconds(11));
+        silent.removeConfinedRuns(pool.now());
+        assertThat(silent.placements(), containsInAnyOrder(runs.get(0), runs.get(3)));
+    }
+
     @Test
     void workerFailingSeveralSubmissionsIsQuarantinedForAWhile() {
         WorkerNode failing = pool.worker("w1", "r1");
