--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/LateStartsTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/LateStartsTest.java
@@ -6,23 +6,31 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.stream.LongStream;
 import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.submission.TaskId;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /**
  * Guards against a task that is done and begins once more: a start without an answer, whose
  * repetition was carried out, reaches the worker after it has crashed and lost its memory.
  */
 class LateStartsTest {
+    private static final int SEEDS = 10;
     private static final double UNANSWERED = 0.3;
     private static final WorkerId WORKER = new WorkerId("w");
     private static final TaskId TASK = TaskId.parse("00000000000000aa.0.0.1").orElseThrow();
 
+    /** The range of seeds can be set by {@code -Dlate.first} and {@code -Dlate.last}. */
+    static List<Long> seeds() {
+        long last = Long.getLong("late.last", SEEDS);
+        return LongStream.rangeClosed(Long.getLong("late.first", 1), last).boxed().toList();
+    }
+
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    @MethodSource("seeds")
     void lateStartThatReachesTheNextIncarnationIsRejected(long seed) {
         SimFleet fleet = new SimFleet(seed);
         fleet.daemons.values().forEach(d -> d.orders.setLateInTransit());
