Count a second call for a start while it is still open

Found by review.

Cause: that a call may be carried out late was noted only when the whole order had ended, and a run that was handed on to the next incarnation lost the note. It is made when the second call is sent, and handed on.

--- a/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placement.java
@@ -232,6 +232,11 @@
         lateUntilNanos = OptionalLong.of(nanos);
     }
 
+    /** Takes over until when a call for the start of a run of the former incarnation may arrive. */
+    void continueLate(Placement former) {
+        lateUntilNanos = former.lateUntilNanos;
+    }
+
     /** Returns whether a call for the start can still reach the next incarnation of the worker. */
     boolean mayBeStartedLate(long now) {
         return lateUntilNanos.isPresent() && now - lateUntilNanos.getAsLong() <= 0;
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -230,6 +230,7 @@
                     new Placement(
                             placement.task(), next, placement.run(), placement.checkpoint(), now);
             carried.setUncertain(now);
+            carried.continueLate(placement);
             next.add(carried);
         }
         removeWorker(last);
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/LateStarts.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/LateStarts.java
@@ -25,6 +25,11 @@
 
     private final Map<WorkerId, Deque<LateStart>> starts = new HashMap<>();
 
+    /** Returns until when a call may be carried out that was sent at a time. */
+    static long until(long sentNanos) {
+        return sentNanos + MAX_DELAY.toNanos();
+    }
+
     /** Adds a start that got no answer. */
     void add(WorkerId worker, TaskId task, long run, long sentNanos) {
         starts.computeIfAbsent(worker, w -> new ArrayDeque<>())
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/OrderSender.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/OrderSender.java
@@ -83,6 +83,11 @@
                                 onStarted(placement, reply, repeated);
                             }
 
+                            @Override
+                            public void onRepeated(long sentNanos) {
+                                placement.setLateUntil(LateStarts.until(sentNanos));
+                            }
+
                             @Override
                             public void onUnanswered(long lastSentNanos) {
                                 listener.onStartUnanswered(placement, lastSentNanos);
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
@@ -211,7 +211,7 @@
     void onStartUnanswered(Placement placement, long sentNanos) {
         WorkerId worker = placement.worker().id();
         lateStarts.add(worker, placement.task().id(), placement.run(), sentNanos);
-        placement.setLateUntil(sentNanos + LateStarts.MAX_DELAY.toNanos());
+        placement.setLateUntil(LateStarts.until(sentNanos));
     }
 
     /**
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/RepeatedOrder.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RepeatedOrder.java
@@ -54,6 +54,7 @@
     private void repeat() {
         if (!ended && isWanted.getAsBoolean()) {
             sendOnce();
+            result.onRepeated(lastSentNanos);
         }
     }
 
@@ -109,6 +110,9 @@
          */
         void onAnswer(T answer, boolean repeated);
 
+        /** Called when the order is sent for the second time, so that one call may be left over. */
+        default void onRepeated(long sentNanos) {}
+
         /**
          * Called when the order ends while a call for it has got no answer.
          *
