Follow the clock that a report shows, and doubt only answers to orders

A report names its incarnation, so its clock always counts.

Any incarnation but the present one began after the last call that this one has answered, so an answer that shows more time than that is of this one.

RunLeaseTest has both, and the clocks of the next incarnation.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/OrderSender.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/OrderSender.java
@@ -48,13 +48,14 @@
 
     private void sendPace(Order.Pace pace) {
         Placement placement = pace.placement();
+        long sentNanos = runtime.clock().nanoTime();
         runtime.orders()
                 .pace(session.target(), placement.task().id(), placement.run(), pace.percent())
                 .emitOn(runtime.loop())
                 .subscribe()
                 .with(
                         clock -> {
-                            lease.calibrate(clock);
+                            lease.onOrderAnswer(clock, sentNanos);
                             listener.onPaceAnswer(pace, true);
                         },
                         f -> listener.onPaceAnswer(pace, false));
@@ -123,10 +124,9 @@
     }
 
     private void onClock(Placement placement, long clock) {
-        if (lease.isSameClock(clock)) {
+        if (lease.onOrderAnswer(clock, placement.orderedNanos())) {
             placement.setAnswered();
         }
-        lease.calibrate(clock);
     }
 
     private void onStartFailure(Placement placement, Throwable failure, boolean mayHaveArrived) {
@@ -135,6 +135,7 @@
     }
 
     private void sendStop(Order.Stop stop) {
+        long sentNanos = runtime.clock().nanoTime();
         new RepeatedOrder<>(
                         runtime,
                         orderDelay,
@@ -143,7 +144,7 @@
                         new RepeatedOrder.Result<Long>() {
                             @Override
                             public void onAnswer(Long clock, boolean repeated) {
-                                lease.calibrate(clock);
+                                lease.onOrderAnswer(clock, sentNanos);
                                 stop.placement().ifPresent(p -> listener.onStopAnswer(p, true));
                             }
 
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/RunLease.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RunLease.java
@@ -26,16 +26,15 @@
     /** Slowest rate of a worker's clock that the interface of the platform allows. */
     private static final double SLOWEST_CLOCK = 0.98;
 
-    /** Longest time in which an answer arrives, in milliseconds: above all time-outs of calls. */
-    private static final long MAX_ANSWER_MILLIS = 2500;
-
-    /** The same for the answer to an order. */
-    private static final long ORDER_ANSWER_MILLIS = 1000;
+    /** Longest time in which an answer to an order arrives, in milliseconds. */
+    private static final long MAX_ANSWER_MILLIS = 1000;
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final BatchRuntime runtime;
     private boolean calibrated;
+    private boolean reported;
+    private long answeredCallNanos;
     private long clockMillis;
     private long clockReadNanos;
     private long untilMillis;
@@ -52,19 +51,45 @@
     }
 
     /**
-     * Returns whether an answer is of the incarnation that has answered before, by the clock that
-     * it shows. The clock of the next one starts anew, at 0 or anywhere. If it starts at 0, it
-     * cannot be told from that of an incarnation that has just begun itself.
+     * Records the clock that the answer to an order shows; returns whether it is certainly of the
+     * incarnation that has reported. The clock of the next incarnation starts anew, at 0 or
+     * anywhere. If it starts at 0, it shows no more than the time since the last call that this one
+     * has answered. A reading that does not go with the last one is ignored.
+     *
+     * @param sentNanos when the order was sent, on the monotonic clock
      */
-    boolean isSameClock(long clock) {
-        return calibrated
-                && clockMillis > MAX_ANSWER_MILLIS + ORDER_ANSWER_MILLIS + drift()
-                && isNear(clock, ORDER_ANSWER_MILLIS);
+    boolean onOrderAnswer(long clock, long sentNanos) {
+        if (!calibrated) {
+            calibrate(clock);
+            return false;
+        }
+        if (Math.abs(clockMillis + passed() - clock) > MAX_ANSWER_MILLIS + drift()) {
+            return false;
+        }
+        long sinceCall = (runtime.clock().nanoTime() - answeredCallNanos) / NANOS_PER_MILLI;
+        boolean same = reported && clock * SLOWEST_CLOCK > sinceCall;
+        if (same) {
+            onAnswered(sentNanos);
+        }
+        calibrate(clock);
+        return same;
     }
 
-    /** Returns whether a reading goes with the last one, if one of the two is late. */
-    private boolean isNear(long clock, long lateMillis) {
-        return Math.abs(clockMillis + passed() - clock) <= lateMillis + drift();
+    /**
+     * Records the clock that a report of this incarnation shows.
+     *
+     * @param requestedNanos when the report was requested, on the monotonic clock
+     */
+    void onReport(long clock, long requestedNanos) {
+        onAnswered(requestedNanos);
+        calibrate(clock);
+    }
+
+    private void onAnswered(long sentNanos) {
+        if (!reported || sentNanos - answeredCallNanos > 0) {
+            answeredCallNanos = sentNanos;
+        }
+        reported = true;
     }
 
     /** Returns the time since the last reading, in milliseconds. */
@@ -87,14 +112,7 @@
         return lastCallNanos;
     }
 
-    /**
-     * Records the worker's clock, as shown in an answer that has just come. A reading that does not
-     * go with the last one is ignored: it is of the next incarnation, or has waited here for long.
-     */
-    void calibrate(long clock) {
-        if (calibrated && !isNear(clock, MAX_ANSWER_MILLIS)) {
-            return;
-        }
+    private void calibrate(long clock) {
         if (!calibrated) {
             formerUntilMillis = clock + runtime.limits().maxRunLease().toMillis();
         }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -297,7 +297,7 @@
         failures = 0;
         connectionLost = false;
         acknowledged = Math.max(acknowledged, cursor);
-        lease.calibrate(report.clockMillis());
+        lease.onReport(report.clockMillis(), requestedNanos);
         if (!fenced) {
             logFirstReport(report);
         }
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/RunLeaseTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/RunLeaseTest.java
@@ -29,16 +29,16 @@
 
     @Test
     void leaseAfterTheFirstAnswerMayBeTheLongest() {
-        lease.calibrate(100);
+        report(100);
         assertThat(lease.extend(), is(100 + GRANTED_MILLIS));
         assertExpiresAfter(LONGEST_MILLIS);
     }
 
     @Test
     void leaseIsAsLongAsGivenOnceTheLongestOneIsOver() {
-        lease.calibrate(100);
+        report(100);
         time.run(3000);
-        lease.calibrate(3100);
+        report(3100);
         lease.extend();
         assertExpiresAfter(GRANTED_MILLIS);
     }
@@ -46,33 +46,65 @@
     @ParameterizedTest
     @ValueSource(longs = {40, 4_136_000})
     void clockOfTheNextIncarnationDoesNotProlongTheLease(long clock) {
-        lease.calibrate(50_000);
+        report(50_000);
         lease.extend();
         time.run(2000);
-        lease.calibrate(52_000);
+        report(52_000);
         lease.extend();
         time.run(100);
-        lease.calibrate(clock);
+        assertThat("of this incarnation", answer(clock), is(false));
         lease.extend();
         time.run(5100);
         assertThat("expired", lease.isExpired(), is(true));
     }
 
-    @Test
-    void answerOfTheNextIncarnationIsNotTakenForOneOfTheFormer() {
-        lease.calibrate(50_000);
+    @ParameterizedTest
+    @ValueSource(longs = {51_960, 52_000})
+    void answerIsOfTheIncarnationWhoseClockItShows(long clock) {
+        report(50_000);
+        time.run(2000);
+        assertThat(answer(clock), is(true));
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1000, 50_000, 4_136_000})
+    void answerOfTheNextIncarnationIsNotTakenForOneOfTheFormer(long clock) {
+        report(50_000);
         time.run(2000);
-        assertThat(lease.isSameClock(52_000), is(true));
-        assertThat(lease.isSameClock(51_960), is(true));
-        assertThat(lease.isSameClock(1900), is(false));
-        assertThat(lease.isSameClock(4_136_000), is(false));
+        assertThat(answer(clock), is(false));
     }
 
+    /** An incarnation that has begun after the last report shows at most the time since then. */
     @Test
-    void answerIsNotAttributedToAnIncarnationThatHasJustBegun() {
-        lease.calibrate(500);
+    void answerIsNotAttributedToAnIncarnationThatMayHaveEnded() {
+        report(500);
         time.run(2000);
-        assertThat(lease.isSameClock(2500), is(false));
+        assertThat(answer(1900), is(false));
+    }
+
+    @Test
+    void answerIsAttributedToAnIncarnationThatReportsWhileItIsYoung() {
+        report(500);
+        time.run(300);
+        assertThat(answer(800), is(true));
+    }
+
+    /** The worker, or this process, has stood still for 3 s. */
+    @ParameterizedTest
+    @ValueSource(longs = {57_000, 63_000})
+    void clockThatHasShiftedIsFollowed(long clock) {
+        report(50_000);
+        time.run(10_000);
+        report(clock);
+        assertThat(lease.extend(), is(clock + GRANTED_MILLIS));
+    }
+
+    private void report(long clock) {
+        lease.onReport(clock, time.nanoTime());
+    }
+
+    private boolean answer(long clock) {
+        return lease.onOrderAnswer(clock, time.nanoTime());
     }
 
     private void assertExpiresAfter(long millis) {
