--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -283,6 +283,9 @@
         if (answer != StartAnswer.UNKNOWN && answer != StartAnswer.NOT_SENT) {
             window.onAnswer(now - placement.orderedNanos(), now);
         }
+        if (answer == StartAnswer.NOT_SENT) {
+            worker(placement.worker().id()).ifPresent(w -> w.removeUnsent(placement));
+        }
         if (placement.phase() != Phase.STARTING) {
             return;
         }
--- a/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/WorkerNode.java
@@ -401,6 +401,16 @@
         removeRuns(p -> p.isConfined(now));
     }
 
+    /** Removes a run that was ordered from a former incarnation, but has never been sent. */
+    void removeUnsent(Placement ordered) {
+        removeRuns(
+                p ->
+                        p.task() == ordered.task()
+                                && p.run() == ordered.run()
+                                && p.worker() != ordered.worker()
+                                && !p.isListed());
+    }
+
     void removeRuns(Predicate<Placement> which) {
         List.copyOf(placements.values()).stream().filter(which).forEach(this::remove);
     }
