Open a session that waits for a token as soon as one is known

If a record was stored while a token was read, or the read failed, the session with the next incarnation waited for the next change of the list of workers. The one that waits is told of any later token, and a read that fails is repeated.

FencingTokensTest.recordThatIsStoredDuringTheReadOpensTheWaitingSessions and waitingSessionsAreOpenedWithoutAnotherRegistration failed before.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FencingTokens.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FencingTokens.java
@@ -1,6 +1,5 @@
 package org.crocusgrade.daemon.batch;
 
-import io.smallrye.mutiny.Uni;
 import java.util.OptionalLong;
 import org.crocusgrade.core.port.WatchResult;
 import org.crocusgrade.daemon.log.Event;
@@ -20,16 +19,20 @@
  * revision 90.
  */
 final class FencingTokens {
+    /** Delay before a token is requested again, in milliseconds. */
+    private static final long RETRY_MILLIS = 150;
+
     private final BatchRuntime runtime;
     private final DutyOwnership ownership;
     private final Runnable onConfirmed;
     private long latest;
+    private boolean wanted;
     private boolean reading;
 
     /**
      * Creates the tokens of an ownership.
      *
-     * @param onConfirmed called when a read requested by {@link #above} has confirmed the ownership
+     * @param onConfirmed called when a token is known that {@link #above} has not found
      */
     FencingTokens(BatchRuntime runtime, DutyOwnership ownership, Runnable onConfirmed) {
         this.runtime = runtime;
@@ -45,7 +48,14 @@
 
     /** Records a revision at which the store still named this owner. */
     void confirm(long revision) {
-        latest = Math.max(latest, revision);
+        if (revision <= latest) {
+            return;
+        }
+        latest = revision;
+        if (wanted) {
+            wanted = false;
+            onConfirmed.run();
+        }
     }
 
     /** Returns a token above the given one; if none is known, requests one from the store. */
@@ -53,17 +63,19 @@
         if (latest > token) {
             return OptionalLong.of(latest);
         }
+        wanted = true;
         read();
         return OptionalLong.empty();
     }
 
     private void read() {
-        if (reading) {
+        if (reading || !wanted) {
             return;
         }
         reading = true;
-        Uni<WatchResult> holder = runtime.store().snapshot(ownership.key());
-        holder.emitOn(runtime.loop())
+        runtime.store()
+                .snapshot(ownership.key())
+                .emitOn(runtime.loop())
                 .subscribe()
                 .with(r -> runtime.guard(() -> onRead(r)), this::onFailure);
     }
@@ -76,9 +88,9 @@
                                 e ->
                                         e.key().equals(ownership.key())
                                                 && e.revision() == ownership.token());
-        if (held && result.revision() > latest) {
+        if (held) {
             confirm(result.revision());
-            onConfirmed.run();
+            runtime.after(RETRY_MILLIS, this::read);
         }
     }
 
@@ -86,5 +98,11 @@
         reading = false;
         runtime.log().log(
                 Event.STORE_FAILED, "reading", ownership.key(), "cause", failure.getMessage());
+        runtime.after(RETRY_MILLIS, this::read);
+    }
+
+    /** Ends the reads that wait for a higher revision. */
+    void stop() {
+        wanted = false;
     }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
@@ -65,7 +65,7 @@
         this.scheduler = scheduler;
         this.duty = duty;
         this.listener = listener;
-        tokens = new FencingTokens(runtime, ownership, this::openWaiting);
+        tokens = new FencingTokens(runtime, ownership, () -> onWorkers(registered));
         formerRuns = new FormerRuns(runtime, service, scheduler, duty);
         tookOverNanos = runtime.clock().nanoTime();
     }
@@ -81,6 +81,7 @@
 
     void stop() {
         stopped = true;
+        tokens.stop();
         sessions.values().forEach(WorkerSession::close);
     }
 
@@ -96,12 +97,6 @@
         }
     }
 
-    private void openWaiting() {
-        if (!stopped) {
-            onWorkers(registered);
-        }
-    }
-
     /** Updates the sessions to the registered workers, given for all pools. */
     void onWorkers(Map<WorkerId, WorkerEntry> entries) {
         registered = entries;
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FencingTokensTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FencingTokensTest.java
@@ -73,6 +73,28 @@
         assertThat(tokens.above(token), is(OptionalLong.of(token + 5)));
     }
 
+    /** A session that waits for a token is not opened although one is known. */
+    @Test
+    void recordThatIsStoredDuringTheReadOpensTheWaitingSessions() {
+        store.write("servers/w", new byte[] {1});
+        assertThat(tokens.above(token), is(OptionalLong.empty()));
+        tokens.confirm(token + 5);
+        time.run(100);
+        assertThat(confirmations, is(1));
+    }
+
+    /** The same if nothing was written since the former token, or a read fails. */
+    @Test
+    void waitingSessionsAreOpenedWithoutAnotherRegistration() {
+        store.write("servers/w", new byte[] {1});
+        store.setDown(true);
+        assertThat(tokens.above(token), is(OptionalLong.empty()));
+        time.run(100);
+        store.setDown(false);
+        time.run(5000);
+        assertThat(confirmations, is(1));
+    }
+
     @Test
     void storeThatDoesNotAnswerIsAskedAgain() {
         store.write("servers/w", new byte[] {1});
