Release tasks only when the worker cannot come back under its id

A host that was listed as down released the tasks that its worker might still start.

A worker is gone for good if its host is no longer listed, moves, is maintained, is in another pool, or has another worker. The hosts are read once a second at most.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolLoader.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolLoader.java
@@ -4,11 +4,16 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.crocusgrade.core.id.QueueId;
+import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.port.FormatException;
+import org.crocusgrade.core.port.HostControl.PooledHost;
+import org.crocusgrade.core.port.HostControl.State;
 import org.crocusgrade.core.port.StoreEntry;
 import org.crocusgrade.core.schedule.TrackedSubmission;
 import org.crocusgrade.core.submission.SubmissionId;
@@ -151,12 +156,22 @@
                 .subscribe()
                 .with(
                         h -> {
-                            owner.onLiveWorkers(PoolWorkers.live(owner.service(), h));
+                            owner.onLiveWorkers(liveWorkers(h));
                             runtime.after(HOSTS_POLL_MILLIS, this::readHosts);
                         },
                         f -> runtime.after(HOSTS_POLL_MILLIS, this::readHosts));
     }
 
+    private Set<WorkerId> liveWorkers(List<PooledHost> hosts) {
+        Set<WorkerId> live = new HashSet<>();
+        for (PooledHost host : hosts) {
+            if (host.pool().equals(owner.service()) && host.state() == State.UP) {
+                host.worker().ifPresent(live::add);
+            }
+        }
+        return live;
+    }
+
     private void unreadable(StoreEntry entry, Exception cause) {
         runtime.log().log(Event.RECORD_UNREADABLE, "key", entry.key(), "cause", cause);
     }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
@@ -1,19 +1,19 @@
 package org.crocusgrade.daemon.batch;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import org.crocusgrade.core.id.HostId;
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.port.HostControl.PooledHost;
-import org.crocusgrade.core.port.HostControl.State;
 import org.crocusgrade.core.port.WorkerEntry;
 import org.crocusgrade.core.schedule.Order;
 import org.crocusgrade.core.schedule.Placement;
@@ -34,7 +34,7 @@
     private static final Duration MAX_REPEAT_DELAY = Duration.ofMillis(400);
 
     /** Minimum time between reads of the host list, in milliseconds. */
-    private static final long HOSTS_READ_MILLIS = 400;
+    private static final long HOSTS_READ_MILLIS = 1000;
 
     private final BatchRuntime runtime;
     private final ServiceId service;
@@ -253,7 +253,7 @@
     void tick() {
         formerRuns.settle(sessions);
         lateStarts.removeOld(runtime.clock().nanoTime());
-        Set<WorkerId> unresolved = removeOldIncarnations();
+        List<WorkerNode> unresolved = removeOldIncarnations();
         for (WorkerSession session : List.copyOf(sessions.values())) {
             boolean expired = session.areLeasesExpired(duty);
             boolean clear =
@@ -261,7 +261,7 @@
                             ? onLeasesExpired(session)
                             : session.isFenced() || clearIfUnreachable(session);
             if (!clear) {
-                unresolved.add(session.node().id());
+                unresolved.add(session.node());
             }
         }
         if (!unresolved.isEmpty()) {
@@ -333,11 +333,8 @@
                 Duration.ofNanos(runtime.clock().nanoTime() - endNanos).toMillis());
     }
 
-    /**
-     * Reads the hosts, to find workers that are gone: what may run on a worker whose host fails,
-     * moves or enters maintenance has ended.
-     */
-    private void readHosts(Set<WorkerId> unresolved) {
+    /** Reads the hosts, to find workers that are gone for good, with all that they execute. */
+    private void readHosts(List<WorkerNode> unresolved) {
         if (readingHosts) {
             return;
         }
@@ -348,35 +345,40 @@
                 .subscribe()
                 .with(
                         h -> {
-                            Set<WorkerId> gone = new HashSet<>(unresolved);
-                            gone.removeAll(live(service, h));
-                            gone.forEach(this::onGone);
+                            onHosts(unresolved, h);
                             runtime.after(HOSTS_READ_MILLIS, () -> readingHosts = false);
                         },
                         f -> runtime.after(HOSTS_READ_MILLIS, () -> readingHosts = false));
     }
 
-    private void onGone(WorkerId worker) {
-        EndedIncarnation ended = endedIncarnations.get(worker);
-        if (ended != null) {
-            scheduler.removeWorker(ended.node);
-        }
-        WorkerSession session = sessions.get(worker);
-        boolean silent = session != null && (session.areLeasesExpired(duty) || !session.isFenced());
-        if (silent && !stopped) {
-            scheduler.clearRuns(session.node());
+    private void onHosts(List<WorkerNode> unresolved, List<PooledHost> found) {
+        Map<HostId, PooledHost> hosts = new HashMap<>();
+        found.forEach(h -> hosts.put(h.host(), h));
+        for (WorkerNode node : unresolved) {
+            if (!stopped && isGone(node, hosts)) {
+                log(node, "host " + node.host().orElseThrow() + " has another worker or is gone");
+                scheduler.clearRuns(node);
+            }
         }
     }
 
-    /** Returns the workers on those of the hosts that are up in a pool. */
-    static Set<WorkerId> live(ServiceId service, List<PooledHost> hosts) {
-        Set<WorkerId> live = new HashSet<>();
-        for (PooledHost host : hosts) {
-            if (host.pool().equals(service) && host.state() == State.UP) {
-                host.worker().ifPresent(live::add);
-            }
+    /**
+     * Returns whether a worker cannot come back under its id. One whose host is down can: its next
+     * incarnation may carry out what was sent to this one.
+     */
+    private boolean isGone(WorkerNode node, Map<HostId, PooledHost> hosts) {
+        if (node.host().isEmpty()) {
+            return false;
+        }
+        PooledHost host = hosts.get(node.host().get());
+        if (host == null || !host.pool().equals(service)) {
+            return true;
         }
-        return live;
+        return switch (host.state()) {
+            case UP -> host.worker().filter(w -> !w.equals(node.id())).isPresent();
+            case DOWN -> false;
+            default -> true;
+        };
     }
 
     /** Removes a worker whose incarnation has certainly ended. */
@@ -409,16 +411,16 @@
     }
 
     /** Forgets the incarnations of which no call has an effect; returns those with open runs. */
-    private Set<WorkerId> removeOldIncarnations() {
+    private List<WorkerNode> removeOldIncarnations() {
         long now = runtime.clock().nanoTime();
-        Set<WorkerId> unresolved = new HashSet<>();
+        List<WorkerNode> unresolved = new ArrayList<>();
         for (EndedIncarnation ended : List.copyOf(endedIncarnations.values())) {
             long end = callsEndNanos(ended.lastCallNanos);
             if (now - end > 0 && duty.wasHeldAt(end)) {
                 scheduler.removeWorker(ended.node);
                 endedIncarnations.remove(ended.node.id());
             } else if (!ended.node.placements().isEmpty()) {
-                unresolved.add(ended.node.id());
+                unresolved.add(ended.node);
             }
         }
         return unresolved;
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FormerIncarnationTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FormerIncarnationTest.java
@@ -210,7 +210,7 @@
     private static SimFleet busyFleet(long seed) {
         SimFleet fleet = SimFleet.withTaskMillis(seed, LONG_TASK_MILLIS);
         fleet.workers.values().forEach(SimWorker::setSlowRuns);
-        fleet.daemons.values().forEach(d -> d.orders.setRetransmitting());
+        fleet.daemons.values().forEach(d -> d.orders.setRetransmitting(20));
         submitFor(fleet, 3000);
         return fleet;
     }
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFleet.java
@@ -153,6 +153,11 @@
         store.write("servers/" + worker.id, text.getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Removes the entry of a worker that the store has not heard of for long. */
+    void unregister(SimWorker worker) {
+        store.remove("servers/" + worker.id);
+    }
+
     /** Requests the maintenance of all hosts, as operators do. */
     void requestWave(int number) {
         List<String> names = new ArrayList<>();
@@ -233,7 +238,8 @@
     /** Stops a worker for good, with its host. */
     void lose(SimWorker worker) {
         worker.crash();
-        store.remove("servers/" + worker.id);
+        hosts.lose(worker.id);
+        unregister(worker);
     }
 
     private void submit(SubmissionId id, int tasks, int attempt) {
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFormat.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimFormat.java
@@ -77,8 +77,9 @@
         String[] words = entry.text().split(" ");
         Resources capacity =
                 new Resources(Long.parseLong(words[1]), SimFleet.CAPACITY.memoryMb(), 0);
+        WorkerId worker = new WorkerId(entry.key().substring(workerPrefix().length()));
         return new WorkerEntry(
-                new WorkerId(entry.key().substring(workerPrefix().length())),
+                worker,
                 SimFleet.SERVICE,
                 new InetSocketAddress("127.0.0.1", 8000),
                 "zone",
@@ -88,7 +89,7 @@
                 List.of("a", "r1"),
                 Optional.of("r1"),
                 capacity,
-                Optional.empty());
+                Optional.of(SimHosts.hostOf(worker)));
     }
 
     @Override
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimHosts.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimHosts.java
@@ -38,6 +38,7 @@
     private final Map<HostId, HostOrder> latest = new HashMap<>();
     private final Set<HostId> inMaintenance = new HashSet<>();
     private final Set<HostId> maintained = new HashSet<>();
+    private final Set<WorkerId> lost = new HashSet<>();
     private boolean refusing;
     private long delayMillis = ANSWER_MILLIS;
     private int sent;
@@ -64,6 +65,11 @@
         standby.add(worker);
     }
 
+    /** Removes the host of a worker from the list, for good. */
+    void lose(WorkerId worker) {
+        lost.add(worker);
+    }
+
     /** Sets whether orders are rejected because the host is busy. */
     void setRefusing(boolean now) {
         refusing = now;
@@ -96,6 +102,9 @@
     public Uni<List<PooledHost>> hosts() {
         List<PooledHost> hosts = new ArrayList<>();
         for (SimWorker worker : workers.values()) {
+            if (lost.contains(worker.id)) {
+                continue;
+            }
             HostId host = hostOf(worker.id);
             State state = worker.isDown() ? State.DOWN : State.UP;
             hosts.add(
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/SimOrders.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/SimOrders.java
@@ -22,7 +22,6 @@
 final class SimOrders implements WorkerOrders {
     private static final long LATENCY_MILLIS = 2;
     private static final long TIMEOUT_MILLIS = 800;
-    private static final long RETRANSMISSION_MILLIS = 20;
 
     private final SimTime time;
     private final Random random;
@@ -30,7 +29,9 @@
     private final Set<WorkerId> cut = new HashSet<>();
     private double lateShare;
     private boolean inTransit;
-    private boolean retransmitting;
+    private OptionalLong retransmissionMillis = OptionalLong.empty();
+    private boolean losingStartAnswers;
+    private final Set<String> startedOnce = new HashSet<>();
     private OptionalLong lateMillis = OptionalLong.empty();
     private Optional<SimLoop> loop = Optional.empty();
     private long passNanos;
@@ -62,12 +63,40 @@
         lateMillis = OptionalLong.of(millis);
     }
 
+    /**
+     * Sets whether the answer to the first call of a start is lost; a repetition is executed late.
+     */
+    void setLosingStartAnswers(boolean now) {
+        losingStartAnswers = now;
+    }
+
+    private Uni<StartReply> startWithoutAnswer(Target target, StartRun order) {
+        return Uni.createFrom()
+                .emitter(
+                        e -> {
+                            SimWorker worker = workers.get(target.worker());
+                            boolean first = startedOnce.add(order.task() + "/" + order.run());
+                            time.afterMillis(
+                                    first ? LATENCY_MILLIS : lateMillis.orElseThrow(),
+                                    () -> {
+                                        if (!worker.isDown()) {
+                                            worker.start(order, target.token());
+                                        }
+                                    });
+                            time.afterMillis(
+                                    TIMEOUT_MILLIS,
+                                    () -> e.fail(new OrderException(Kind.NO_ANSWER, "silent")));
+                        });
+    }
+
     /**
      * Delivers calls to a worker that is down once it is back, if their time-out has not passed: a
      * connection is requested again until then.
+     *
+     * @param millis the interval between two requests
      */
-    void setRetransmitting() {
-        retransmitting = true;
+    void setRetransmitting(long millis) {
+        retransmissionMillis = OptionalLong.of(millis);
     }
 
     /**
@@ -81,6 +110,9 @@
 
     @Override
     public Uni<StartReply> start(Target target, StartRun order) {
+        if (losingStartAnswers && !cut.contains(target.worker())) {
+            return startWithoutAnswer(target, order);
+        }
         return withTimeout(
                 send(
                         target,
@@ -200,8 +232,9 @@
             return;
         }
         if (random.nextDouble() < lateShare) {
-            // The worker has received the order and delays it, so the order is lost if the worker
-            // restarts.
+            // The order is delayed by the worker, so that it is lost if the worker restarts, unless
+            // it
+            // is in transit.
             fail.accept(Kind.NO_ANSWER);
             int incarnation = worker.incarnation();
             time.afterMillis(
@@ -221,9 +254,8 @@
                         answerLater(() -> emitter.fail(lost(Kind.NOT_SENT)));
                     } else if (worker.isUnresponsive()) {
                         fail.accept(Kind.NO_ANSWER);
-                        if (retransmitting) {
-                            retransmit(worker, timeoutMillis, action, emitter);
-                        }
+                        retransmissionMillis.ifPresent(
+                                m -> retransmit(worker, m, timeoutMillis, action, emitter));
                     } else {
                         action.execute(worker, emitter);
                     }
@@ -232,20 +264,21 @@
 
     private <T> void retransmit(
             SimWorker worker,
+            long interval,
             long millisLeft,
             OrderAction<T> action,
             UniEmitter<? super T> emitter) {
-        if (millisLeft <= 0) {
+        if (millisLeft < interval) {
             return;
         }
         time.afterMillis(
-                RETRANSMISSION_MILLIS,
+                interval,
                 () -> {
                     if (cut.contains(worker.id)) {
                         return;
                     }
                     if (worker.isDown()) {
-                        retransmit(worker, millisLeft - RETRANSMISSION_MILLIS, action, emitter);
+                        retransmit(worker, interval, millisLeft - interval, action, emitter);
                     } else if (!worker.isUnresponsive()) {
                         action.execute(worker, emitter);
                     }
