Do not wait for calls to former incarnations of workers that have long been up

If all such workers are registered and began over 35 s ago, every call of the former owner was for the incarnation that is up, so the lease that it gave is the longest, and the wait is 10 s as before.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/FormerRuns.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/FormerRuns.java
@@ -5,8 +5,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.crocusgrade.core.id.ServiceId;
 import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.port.WorkerEntry;
 import org.crocusgrade.core.schedule.PoolScheduler;
 import org.crocusgrade.daemon.log.Event;
 
@@ -15,6 +17,20 @@
  * so that no task is started that one of them may be executing.
  */
 final class FormerRuns {
+    /**
+     * Maximum time after the takeover for which a lease granted by the former owner may last on an
+     * incarnation that had begun long before: the time for which it extends leases without a
+     * confirmation of the duty, plus one run lease.
+     */
+    private static final Duration LEASE_EXPIRY = PoolOwner.MAX_CONFIRMATION_AGE.plusMillis(5000);
+
+    /**
+     * Age of an incarnation from which on no call for the one before can still arrive, with a
+     * margin for the times of day of two machines.
+     */
+    private static final Duration SETTLED_AGE =
+            PoolOwner.MAX_CONFIRMATION_AGE.plus(LateStarts.MAX_DELAY).plusSeconds(15);
+
     private final BatchRuntime runtime;
     private final ServiceId service;
     private final PoolScheduler scheduler;
@@ -43,20 +59,27 @@
                         .plus(RunLease.longest(runtime.limits()));
     }
 
-    /** Settles the pool if the sessions with its workers show that all runs are accounted for. */
-    void settle(Map<WorkerId, WorkerSession> sessions) {
+    /**
+     * Settles the pool if the sessions with its workers show that all runs are accounted for, or
+     * those that may not be have ended.
+     *
+     * @param registered the registered workers of all pools
+     */
+    void settle(Map<WorkerId, WorkerSession> sessions, Map<WorkerId, WorkerEntry> registered) {
         if (scheduler.isSettled()) {
             return;
         }
         boolean inherited =
                 scheduler.submissions().stream()
                         .anyMatch(s -> s.isInherited() && !s.outcome().isFinal());
-        boolean known = areAllKnown(sessions);
+        Optional<Set<WorkerId>> unknown = workersToFence.map(w -> unknown(w, sessions));
+        boolean known = unknown.filter(Set::isEmpty).isPresent();
+        boolean old = unknown.filter(w -> areSettled(w, registered)).isPresent();
+        Duration expiry = old ? LEASE_EXPIRY : callsExpiry;
         long age = runtime.clock().nanoTime() - tookOverNanos;
-        long expiryNanos = tookOverNanos + callsExpiry.toNanos();
         boolean expired =
-                age > callsExpiry.toNanos()
-                        && duty.wasHeldAt(expiryNanos)
+                age > expiry.toNanos()
+                        && duty.wasHeldAt(tookOverNanos + expiry.toNanos())
                         && sessions.values().stream().noneMatch(this::isReadingEnds);
         if (!inherited || known || expired) {
             scheduler.setSettled();
@@ -74,16 +97,29 @@
     }
 
     /**
-     * Returns whether every worker that may execute a run of an earlier owner has been fenced, and
-     * has listed all runs that it began before.
+     * Returns which of the workers that may execute a run of an earlier owner have not been fenced,
+     * or have not listed all runs that they began before.
+     */
+    private static Set<WorkerId> unknown(
+            Set<WorkerId> workers, Map<WorkerId, WorkerSession> sessions) {
+        return workers.stream()
+                .filter(w -> !sessions.containsKey(w) || !sessions.get(w).areFormerRunsKnown())
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    /**
+     * Returns whether the incarnations of workers began so long ago that all calls of the former
+     * owner were for them. A worker that is registered has been heard of lately.
      */
-    private boolean areAllKnown(Map<WorkerId, WorkerSession> sessions) {
-        return workersToFence.isPresent()
-                && workersToFence.get().stream()
-                        .allMatch(
-                                w ->
-                                        sessions.containsKey(w)
-                                                && sessions.get(w).areFormerRunsKnown());
+    private boolean areSettled(Set<WorkerId> workers, Map<WorkerId, WorkerEntry> registered) {
+        long latest = runtime.clock().now().minus(SETTLED_AGE).toEpochMilli();
+        return workers.stream()
+                .map(registered::get)
+                .allMatch(
+                        e ->
+                                e != null
+                                        && e.startedEpochMillis() > 0
+                                        && e.startedEpochMillis() < latest);
     }
 
     /**
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -36,11 +36,11 @@
  * Owns one pool: accepts its submissions and schedules them, and is the only sender of orders to
  * its workers.
  *
- * <p>Two owners cannot run the same task twice. The fencing token of a new owner is the revision of
- * the key that names it, so it is higher than the token of its predecessor. Before the new owner
- * starts a task that the predecessor may have started, each worker has either answered a call with
- * the new token, so that it has listed its runs and rejects the predecessor from then on, or enough
- * time has passed for every lease that the predecessor may have granted to expire. Tasks of
+ * <p>Two owners cannot run the same task twice. The fencing tokens of a new owner are higher than
+ * those of its predecessor (see {@link FencingTokens}). Before the new owner starts a task that the
+ * predecessor may have started, each worker has either answered a call with the new token, so that
+ * it has listed its runs and rejects the predecessor from then on, or enough time has passed for
+ * the calls of the predecessor to have arrived and every lease to have expired. Tasks of
  * submissions that the new owner itself has accepted need not wait.
  */
 final class PoolOwner implements WorkerSession.Listener, RecordWriter.Listener {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
@@ -251,7 +251,7 @@
      * incarnations and expired leases.
      */
     void tick() {
-        formerRuns.settle(sessions);
+        formerRuns.settle(sessions, registered);
         lateStarts.removeOld(runtime.clock().nanoTime());
         List<WorkerNode> unresolved = removeOldIncarnations();
         for (WorkerSession session : List.copyOf(sessions.values())) {
