--- a/daemon/src/main/java/org/crocusgrade/daemon/HttpPort.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/HttpPort.java
@@ -12,9 +12,6 @@
 
 /** An HTTP server on one address of the daemon. */
 final class HttpPort {
-    /** Largest read from a connection, which occupies a buffer until it has been decoded. */
-    private static final int READ_BYTES = 1 << 14;
-
     private static final Duration START_TIMEOUT = Duration.ofSeconds(10);
 
     private final InetSocketAddress requested;
@@ -38,7 +35,6 @@
                         .setHost(address.getAddress().getHostAddress())
                         .setPort(address.getPort())
                         .setMaxHeaderSize(maxHeaderBytes)
-                        .setReceiveBufferSize(READ_BYTES)
                         .setHttp2ClearTextEnabled(false)
                         .setCompressionSupported(false);
         try {
