--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/RunLease.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RunLease.java
@@ -51,10 +51,11 @@
     }
 
     /**
-     * Records the clock that the answer to an order shows; returns whether it is certainly of the
-     * incarnation that has reported. The clock of the next incarnation starts anew, at 0 or
-     * anywhere. If it starts at 0, it shows no more than the time since the last call that this one
-     * has answered. A reading that does not go with the last one is ignored.
+     * Records the clock that the answer to an order shows; returns whether it is of the incarnation
+     * that has reported. The clock of the next incarnation starts anew, at 0 or anywhere. If it
+     * starts at 0, it shows no more than the time since the last call that this one has answered;
+     * elsewhere it agrees with the clock of this one only by a rare chance. A reading that does not
+     * go with the last one is ignored.
      *
      * @param sentNanos when the order was sent, on the monotonic clock
      */
