Share what the tests of former incarnations begin with, and the removal of runs

Five cases began with the same fleet and starts. ReportProcessor had the loop that WorkerNode.removeRuns is. No behaviour changes; the assertions are as they were.

--- a/core/src/main/java/org/crocusgrade/core/schedule/ReportProcessor.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/ReportProcessor.java
@@ -96,9 +96,7 @@
     /** Removes all runs of a worker after it is certain that they have ended. */
     void removeRuns(WorkerNode worker) {
         unwanted.remove(worker);
-        for (Placement placement : List.copyOf(worker.placements())) {
-            worker.remove(placement);
-        }
+        worker.removeRuns(p -> true);
     }
 
     /** Updates or adopts a run that a worker reports; returns false if the run is unwanted. */
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FormerIncarnationTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FormerIncarnationTest.java
@@ -88,12 +88,8 @@
     @ParameterizedTest
     @ValueSource(longs = {1000, 2500, 4000, 6000, 9000, 12_000})
     void unansweredStartThatTheNextIncarnationCarriesOutRunsNowhereElse(long lateMillis) {
-        SimFleet fleet = SimFleet.withEndlessTasks(1);
-        List<SimWorker> workers = List.copyOf(fleet.workers.values()).subList(0, 2);
-        fleet.time.run(20_000);
-        setLate(fleet, 1, lateMillis);
-        fleet.submit(8);
-        fleet.time.run(100);
+        SimFleet fleet = fleetWithUnansweredStarts(lateMillis);
+        List<SimWorker> workers = workers(fleet, 2);
         isolate(fleet, workers);
         workers.forEach(SimWorker::crash);
         fleet.time.run(500);
@@ -114,12 +110,8 @@
     @ParameterizedTest
     @ValueSource(longs = {2500, 6000, 9000, 12_000, 14_000})
     void nextOwnerWaitsForStartsThatTheFormerOneGotNoAnswerTo(long lateMillis) {
-        SimFleet fleet = SimFleet.withEndlessTasks(1);
-        List<SimWorker> workers = List.copyOf(fleet.workers.values()).subList(0, 2);
-        fleet.time.run(20_000);
-        setLate(fleet, 1, lateMillis);
-        fleet.submit(8);
-        fleet.time.run(100);
+        SimFleet fleet = fleetWithUnansweredStarts(lateMillis);
+        List<SimWorker> workers = workers(fleet, 2);
         fleet.kill(fleet.holder().name);
         isolate(fleet, workers);
         workers.forEach(SimWorker::crash);
@@ -184,12 +176,8 @@
     @ParameterizedTest
     @ValueSource(longs = {9000, 12_000})
     void startThatAnIncarnationCarriesOutAfterItsHostWasDownRunsNowhereElse(long lateMillis) {
-        SimFleet fleet = SimFleet.withEndlessTasks(1);
-        List<SimWorker> workers = List.copyOf(fleet.workers.values()).subList(0, 2);
-        fleet.time.run(20_000);
-        setLate(fleet, 1, lateMillis);
-        fleet.submit(8);
-        fleet.time.run(100);
+        SimFleet fleet = fleetWithUnansweredStarts(lateMillis);
+        List<SimWorker> workers = workers(fleet, 2);
         isolate(fleet, workers);
         workers.forEach(SimWorker::crash);
         fleet.time.run(500);
@@ -208,7 +196,7 @@
     @ValueSource(longs = {1, 2, 3, 4, 5, 6})
     void openSecondCallForAListedRunDoesNotRunBesideAnother(long seed) {
         SimFleet fleet = loseAnswers(seed, 1000);
-        List<SimWorker> workers = List.copyOf(fleet.workers.values()).subList(0, 2);
+        List<SimWorker> workers = workers(fleet, 2);
         isolate(fleet, workers);
         workers.forEach(SimWorker::restart);
         workers.forEach(fleet::register);
@@ -221,7 +209,7 @@
     @ValueSource(longs = {1, 2, 3, 4, 5, 6})
     void openSecondCallThatArrivesBeforeTheRegistrationDoesNotRunBesideAnother(long seed) {
         SimFleet fleet = loseAnswers(seed, 500);
-        List<SimWorker> workers = List.copyOf(fleet.workers.values()).subList(0, 2);
+        List<SimWorker> workers = workers(fleet, 2);
         workers.forEach(SimWorker::restart);
         isolate(fleet, workers);
         fleet.time.run(280);
@@ -236,7 +224,7 @@
     @ValueSource(longs = {1, 2})
     void startThatWasNotSentToAWorkerThatRegistersMeanwhileDoesNotDelayItsTask(long seed) {
         SimFleet fleet = SimFleet.withTaskMillis(seed, 700);
-        List<SimWorker> workers = List.copyOf(fleet.workers.values()).subList(0, 3);
+        List<SimWorker> workers = workers(fleet, 3);
         fleet.time.run(6000);
         workers.forEach(SimWorker::restart);
         isolate(fleet, workers);
@@ -255,12 +243,8 @@
     @ParameterizedTest
     @ValueSource(longs = {7000, 9000, 12_000})
     void startOfTheFormerOwnerThatArrivesAfterThePoolIsSettledRunsNowhereElse(long lateMillis) {
-        SimFleet fleet = SimFleet.withEndlessTasks(1);
-        List<SimWorker> workers = List.copyOf(fleet.workers.values()).subList(0, 1);
-        fleet.time.run(20_000);
-        setLate(fleet, 1, lateMillis);
-        fleet.submit(8);
-        fleet.time.run(100);
+        SimFleet fleet = fleetWithUnansweredStarts(lateMillis);
+        List<SimWorker> workers = workers(fleet, 1);
         fleet.kill(fleet.holder().name);
         setLate(fleet, 0, lateMillis);
         fleet.time.run(4900);
@@ -276,12 +260,8 @@
     @ParameterizedTest
     @ValueSource(longs = {4000, 8000})
     void lateStartThatTheSecondNextIncarnationCarriesOutRunsNowhereElse(long lateMillis) {
-        SimFleet fleet = SimFleet.withEndlessTasks(1);
-        List<SimWorker> workers = List.copyOf(fleet.workers.values()).subList(0, 2);
-        fleet.time.run(20_000);
-        setLate(fleet, 1, lateMillis);
-        fleet.submit(8);
-        fleet.time.run(100);
+        SimFleet fleet = fleetWithUnansweredStarts(lateMillis);
+        List<SimWorker> workers = workers(fleet, 2);
         setLate(fleet, 0, lateMillis);
         workers.forEach(SimWorker::restart);
         workers.forEach(fleet::register);
@@ -318,7 +298,7 @@
     @Test
     void unansweredStartsToALostHostDelayTheirTasksOnlyUntilLeasesHaveEnded() {
         SimFleet fleet = SimFleet.withTaskMillis(1, LONG_TASK_MILLIS);
-        List<SimWorker> workers = List.copyOf(fleet.workers.values()).subList(0, 2);
+        List<SimWorker> workers = workers(fleet, 2);
         fleet.time.run(1000);
         setLate(fleet, 1, 12_000);
         fleet.submit(8);
@@ -331,6 +311,20 @@
         assertThat(fleet.checks.violations(), empty());
     }
 
+    /** Starts a fleet in which eight starts have just been sent that get no answer. */
+    private static SimFleet fleetWithUnansweredStarts(long lateMillis) {
+        SimFleet fleet = SimFleet.withEndlessTasks(1);
+        fleet.time.run(20_000);
+        setLate(fleet, 1, lateMillis);
+        fleet.submit(8);
+        fleet.time.run(100);
+        return fleet;
+    }
+
+    private static List<SimWorker> workers(SimFleet fleet, int count) {
+        return List.copyOf(fleet.workers.values()).subList(0, count);
+    }
+
     /** Sets the share of calls that get no answer, and when they are carried out. */
     private static void setLate(SimFleet fleet, double share, long millis) {
         for (SimFleet.Daemon daemon : fleet.daemons.values()) {
