--- a/review/standin-3/Bed.java
+++ b/review/standin-3/Bed.java
@@ -294,78 +294,11 @@
         watcher.onNoted(task, run, how);
     }
 
+    /** Returns what guards the state of all workers. */
     Object lock() {
         return this;
     }
 
-    private static String stepOf(String task) {
-        return task.substring(0, task.lastIndexOf('.'));
-    }
-
-    void beginGang(String task, long run, int size) {
-        int present = 0;
-        for (Worker worker : workers.values()) {
-            present += worker.members(stepOf(task), run);
-        }
-        if (present == size) {
-            workers.values().forEach(w -> w.beginMembers(stepOf(task), run));
-        }
-    }
-
-    /** Ends all members of a gang, of which one has ended. */
-    void endGang(String task, long run, String how) {
-        boolean same = how.equals("done") || how.equals("alone");
-        for (Worker worker : workers.values()) {
-            if (!worker.isCrashed()) {
-                worker.endMembers(stepOf(task), run, same ? how : how.equals("crashed") ? "broken" : how);
-            }
-        }
-    }
-
-    private double lateShare;
-    private final java.util.Random random = new java.util.Random();
-
-    void setLateShare(double share) {
-        lateShare = share;
-    }
-
-    boolean isLate() {
-        return lateShare > 0 && random.nextDouble() < lateShare;
-    }
-
-    /** Carries out an order seconds later, at whatever incarnation has the name then. */
-    void later(String worker, Http.Request request) {
-        Http.thread("late", () -> {
-            sleep(2000 + random.nextInt(10_000));
-            for (Worker w : workers.values()) {
-                if (w.id().equals(worker) && !w.isCrashed()) {
-                    try {
-                        Http.Response r = w.carryOut(request, Json.object(request.body()));
-                        record("late " + request.path() + " " + Json.object(request.body()).get("task") + " run " + Json.object(request.body()).get("run_id") + " at " + worker + ": " + r.status() + r.body());
-                    } catch (Exception e) {
-                        record("late: " + e);
-                    }
-                }
-            }
-        });
-    }
-
-    /** Crashes a worker, which comes back under its name. */
-    void crashSame(Worker worker, long downMillis) {
-        states.put(worker.machine(), "down");
-        worker.crash();
-        Http.thread("boot", () -> {
-            sleep(downMillis);
-            try {
-                Worker next = new Worker(this, worker.id(), worker.machine(), worker.service(), "a", worker.rack(), 16_000);
-                states.put(worker.machine(), "up");
-                workers.put(worker.machine(), next);
-            } catch (Exception e) {
-                record("machine " + worker.machine() + " cannot start: " + e);
-            }
-        });
-    }
-
     List<Worker> workers() {
         return List.copyOf(workers.values());
     }
--- a/review/standin-3/Worker.java
+++ b/review/standin-3/Worker.java
@@ -21,8 +21,6 @@
         private long begun;
         private long lasts;
         private long stopAt = Long.MAX_VALUE;
-        private int gang;
-        private long arrived;
     }
 
     private final Bed bed;
@@ -90,10 +88,10 @@
         return crashed;
     }
 
-    /** Returns the runs of a submission that are active here. */
-    int runsOf(String submission) {
+    /** Returns how many work items run here whose names begin so. */
+    int runsOf(String name) {
         synchronized (bed.lock()) {
-        return (int) running.keySet().stream().filter(t -> t.startsWith(submission + ".")).count();
+            return (int) running.keySet().stream().filter(t -> t.startsWith(name)).count();
         }
     }
 
@@ -107,9 +105,6 @@
             for (Run run : lost) {
                 bed.record("worker " + id + " crashes with " + run.task + " run " + run.run);
                 bed.onEnd(this, run.task, run.run, "crashed");
-                if (run.gang > 0) {
-                    bed.endGang(run.task, run.run, "crashed");
-                }
             }
         }
     }
@@ -154,16 +149,11 @@
                 long now = System.nanoTime();
                 boolean lapsed = untilMillis > 0 && clock() > untilMillis;
                 for (Run run : new ArrayList<>(running.values())) {
-                    if (!running.containsKey(run.task)) {
-                        continue;
-                    }
-                    if (run.gang > 0 && run.begun == 0 && now - run.arrived > 3_000_000_000L) {
-                        end(run, "alone");
-                    } else if (lapsed) {
+                    if (lapsed) {
                         end(run, "lapsed");
                     } else if (now >= run.stopAt) {
                         end(run, "stopped");
-                    } else if (run.lasts > 0 && run.begun > 0 && now - run.begun >= run.lasts) {
+                    } else if (run.lasts > 0 && now - run.begun >= run.lasts) {
                         end(run, "done");
                     }
                 }
@@ -173,32 +163,6 @@
     }
 
     private void end(Run run, String how) {
-        if (run.gang > 0) {
-            bed.endGang(run.task, run.run, how);
-            return;
-        }
-        endHere(run, how);
-    }
-
-    /** Ends the members of a gang that run here. */
-    void endMembers(String step, long number, String how) {
-        for (Run run : new ArrayList<>(running.values())) {
-            if (run.run == number && run.task.startsWith(step + ".")) {
-                endHere(run, how);
-            }
-        }
-    }
-
-    int members(String step, long number) {
-        return (int) running.values().stream().filter(r -> r.run == number && r.task.startsWith(step + ".")).count();
-    }
-
-    void beginMembers(String step, long number) {
-        running.values().stream().filter(r -> r.run == number && r.task.startsWith(step + ".") && r.begun == 0)
-                .forEach(r -> r.begun = System.nanoTime());
-    }
-
-    private void endHere(Run run, String how) {
         running.remove(run.task);
         over.merge(run.task, run.run, Math::max);
         ends.add(List.of(++lastEnd, run.task, run.run, how, ""));
@@ -215,15 +179,6 @@
             return Http.Response.of(421);
         }
         Map<String, Object> body = Json.object(request.body());
-        if (!request.path().equals("/hold") && bed.isLate()) {
-            bed.later(id, request);
-            Thread.sleep(1500);
-            return null;
-        }
-        return carryOut(request, body);
-    }
-
-    Http.Response carryOut(Http.Request request, Map<String, Object> body) throws Exception {
         synchronized (bed.lock()) {
             if (crashed) {
                 return null;
@@ -275,15 +230,8 @@
         run.begun = System.nanoTime();
         String spec = (String) body.get("spec");
         run.lasts = Long.parseLong(spec.substring(3, spec.indexOf(' '))) * 1_000_000;
-        int mark = spec.indexOf("gang=");
-        run.gang = mark < 0 ? 0 : Integer.parseInt(spec.substring(mark + 5, spec.indexOf(' ', mark)));
-        run.arrived = run.begun;
-        run.begun = run.gang > 0 ? 0 : run.begun;
         running.put(task, run);
         bed.onStart(this, task, number, spec);
-        if (run.gang > 0) {
-            bed.beginGang(task, number, run.gang);
-        }
         return Http.Response.of(200, "clock_ms", clock());
     }
 
@@ -328,7 +276,7 @@
         List<Object> rows = new ArrayList<>();
         long now = System.nanoTime();
         for (Run run : running.values()) {
-            long percent = run.begun > 0 && now - run.begun > STARTUP_NANOS ? 100 : 0;
+            long percent = now - run.begun > STARTUP_NANOS ? 100 : 0;
             rows.add(List.of(run.task, run.run, "", percent, 10L));
         }
         return Http.Response.of(
