Review case 11: a late start runs beside another run of its work item

What was seen: a start gets no answer, its work item goes on elsewhere, and the worker starts again under its name, cut off, and carries the start out: two runs of one work item at once. With TROUBLE=0 the rule holds.

--- a/review/standin-3/Bed.java
+++ b/review/standin-3/Bed.java
@@ -21,6 +21,11 @@
 
     /** Notified of what workers run. */
     interface Watcher {
+        /** Returns whether an order gets no answer; the watcher then sees to it. */
+        default boolean isHeld(Worker worker, Http.Request request) {
+            return false;
+        }
+
         default void onStart(Worker worker, String task, long run, String spec) {}
 
         default void onEnd(Worker worker, String task, long run, String how) {}
@@ -282,6 +287,10 @@
         return cpus.getOrDefault(task.substring(0, task.indexOf('.')), 100L);
     }
 
+    boolean isHeld(Worker worker, Http.Request request) {
+        return watcher.isHeld(worker, request);
+    }
+
     void onStart(Worker worker, String task, long run, String spec) {
         watcher.onStart(worker, task, run, spec);
     }
@@ -299,6 +308,14 @@
         return this;
     }
 
+    /** Starts a worker again under its name, on its machine. */
+    Worker startAgain(Worker former) throws Exception {
+        Worker next =
+                new Worker(this, former.id(), former.machine(), former.service(), "a", former.rack(), 16_000);
+        workers.put(former.machine(), next);
+        return next;
+    }
+
     List<Worker> workers() {
         return List.copyOf(workers.values());
     }
--- a/review/standin-3/Proxy.java
+++ b/review/standin-3/Proxy.java
@@ -12,7 +12,8 @@
 /** Passes connections on to a server; those that are open can be made to carry nothing more. */
 final class Proxy {
     private final ServerSocket socket;
-    private final InetSocketAddress to;
+    private volatile InetSocketAddress to;
+    private volatile boolean cut;
     private final Set<Link> links = ConcurrentHashMap.newKeySet();
 
     private static final class Link {
@@ -43,6 +44,19 @@
         return links.size();
     }
 
+    /** Passes new connections on to another server. */
+    void passTo(InetSocketAddress server) {
+        to = server;
+    }
+
+    /** Cuts the server off: what is sent to it or by it is lost, until the cut is healed. */
+    void setCut(boolean next) {
+        cut = next;
+        if (next) {
+            silence();
+        }
+    }
+
     private void accept() {
         while (true) {
             try {
@@ -52,6 +66,7 @@
                 client.setTcpNoDelay(true);
                 server.setTcpNoDelay(true);
                 Link link = new Link(client, server);
+                link.silent = cut;
                 links.add(link);
                 Http.thread("pass", () -> pass(link, client, server));
                 Http.thread("pass", () -> pass(link, server, client));
--- a/review/standin-3/Worker.java
+++ b/review/standin-3/Worker.java
@@ -29,7 +29,7 @@
     private final String zone;
     private final String rack;
     private final long cpu;
-    private final InetSocketAddress address;
+    private volatile InetSocketAddress address;
     private final Http.Server server;
     private final String id;
     private final long born = System.currentTimeMillis();
@@ -58,18 +58,29 @@
         Http.thread("heartbeat", this::heartbeat);
     }
 
-    String id() {
-        return id;
+    /** Returns the address at which the process listens. */
+    InetSocketAddress listens() {
+        return server.address();
     }
 
-    String machine() {
-        return machine;
+    /** Sets the address that the worker registers, if that is another one. */
+    void setAddress(InetSocketAddress registered) {
+        address = registered;
+        bed.store().put("servers/" + id, entry());
     }
 
     String rack() {
         return rack;
     }
 
+    String id() {
+        return id;
+    }
+
+    String machine() {
+        return machine;
+    }
+
     String service() {
         return service;
     }
@@ -179,6 +190,14 @@
             return Http.Response.of(421);
         }
         Map<String, Object> body = Json.object(request.body());
+        if (bed.isHeld(this, request)) {
+            return null;
+        }
+        return carryOut(request, body);
+    }
+
+    /** Carries an order out, when it arrives or later. */
+    Http.Response carryOut(Http.Request request, Map<String, Object> body) throws Exception {
         synchronized (bed.lock()) {
             if (crashed) {
                 return null;
