Review case 13: a worker on trial keeps work waiting without a limit

The cases on a worker that is lost and on silent channels move to 14 and 15.

What was seen: one of twelve workers fails what it starts for 6.5 s and is sound then. A work item of 60 s begins there first; another one that needs the worker's label does not begin for as long, on a worker that uses 1 of 16 cores. With TROUBLE=0 it begins at once.

--- a/review/standin-3/Bed.java
+++ b/review/standin-3/Bed.java
@@ -235,8 +235,12 @@
     }
 
     Worker addWorker(String machine, String service, long cpu) throws Exception {
+        return addWorker(machine, service, "a", cpu);
+    }
+
+    Worker addWorker(String machine, String service, String kind, long cpu) throws Exception {
         String rack = "r1-" + (1 + Math.floorMod(machine.hashCode(), 3));
-        Worker worker = new Worker(this, "i-" + machine + "-" + ++nextWorker, machine, service, "a", rack, cpu);
+        Worker worker = new Worker(this, "i-" + machine + "-" + ++nextWorker, machine, service, "a", kind, rack, cpu);
         states.put(machine, "up");
         workers.put(machine, worker);
         return worker;
@@ -311,7 +315,7 @@
     /** Starts a worker again under its name, on its machine. */
     Worker startAgain(Worker former) throws Exception {
         Worker next =
-                new Worker(this, former.id(), former.machine(), former.service(), "a", former.rack(), 16_000);
+                new Worker(this, former.id(), former.machine(), former.service(), "a", former.kind(), former.rack(), 16_000);
         workers.put(former.machine(), next);
         return next;
     }
--- a/review/standin-3/GoneCase.java
+++ b/review/standin-3/GoneCase.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** Case 13: a worker's machine loses power for good; a submission comes before its silence is noticed. */
+/** Case 14: a worker's machine loses power for good; a submission comes before its silence is noticed. */
 final class GoneCase {
     private static final int WORKERS = 7;
     private static final double FINISH_S = 14;
--- a/review/standin-3/SilentCase.java
+++ b/review/standin-3/SilentCase.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** Case 14: the open channels to the store go silent; then the operator adds a queue. */
+/** Case 15: the open channels to the store go silent; then the operator adds a queue. */
 final class SilentCase {
     private static final double CONTACT_S = 3.0;
     private static final double APPLY_S = 2.0;
--- a/review/standin-3/Worker.java
+++ b/review/standin-3/Worker.java
@@ -21,12 +21,14 @@
         private long begun;
         private long lasts;
         private long stopAt = Long.MAX_VALUE;
+        private boolean fails;
     }
 
     private final Bed bed;
     private final String machine;
     private final String service;
     private final String zone;
+    private final String kind;
     private final String rack;
     private final long cpu;
     private volatile InetSocketAddress address;
@@ -42,14 +44,16 @@
     private long lastEnd;
     private long seq;
     private volatile boolean crashed;
+    private volatile boolean failing;
 
-    Worker(Bed bed, String id, String machine, String service, String zone, String rack, long cpu)
+    Worker(Bed bed, String id, String machine, String service, String zone, String kind, String rack, long cpu)
             throws Exception {
         this.bed = bed;
         this.id = id;
         this.machine = machine;
         this.service = service;
         this.zone = zone;
+        this.kind = kind;
         this.rack = rack;
         this.cpu = cpu;
         server = new Http.Server(new InetSocketAddress(bed.host(), 0), this::answer, 1);
@@ -88,7 +92,7 @@
     Map<String, Object> machineJson(String state) {
         return Json.map(
                 "machine", machine, "pool", service, "state", state, "zone", zone,
-                "labels", List.of("a", rack), "capacity", capacity(), "id", id);
+                "labels", List.of(kind, rack), "capacity", capacity(), "id", id);
     }
 
     private Map<String, Object> capacity() {
@@ -99,6 +103,15 @@
         return crashed;
     }
 
+    /** Sets whether all that begins here fails. */
+    void setFailing(boolean next) {
+        failing = next;
+    }
+
+    String kind() {
+        return kind;
+    }
+
     /** Returns how many work items run here whose names begin so. */
     int runsOf(String name) {
         synchronized (bed.lock()) {
@@ -143,7 +156,7 @@
         return Json.map(
                 "service", service, "address", address.getAddress().getHostAddress() + ":" + address.getPort(),
                 "zone", zone, "version", "v1", "slots", 8L, "state", "ready", "cold_left_ms", 0L,
-                "capacity", capacity(), "labels", List.of("a", rack), "clock_ms", clock(), "seq", ++seq,
+                "capacity", capacity(), "labels", List.of(kind, rack), "clock_ms", clock(), "seq", ++seq,
                 "born", born, "machine", machine);
     }
 
@@ -162,6 +175,8 @@
                 for (Run run : new ArrayList<>(running.values())) {
                     if (lapsed) {
                         end(run, "lapsed");
+                    } else if (run.fails && now - run.begun > 20_000_000L) {
+                        end(run, "failed");
                     } else if (now >= run.stopAt) {
                         end(run, "stopped");
                     } else if (run.lasts > 0 && now - run.begun >= run.lasts) {
@@ -247,6 +262,7 @@
         run.task = task;
         run.run = number;
         run.begun = System.nanoTime();
+        run.fails = failing;
         String spec = (String) body.get("spec");
         run.lasts = Long.parseLong(spec.substring(3, spec.indexOf(' '))) * 1_000_000;
         running.put(task, run);
