--- a/review/standin-3/Bed.java
+++ b/review/standin-3/Bed.java
@@ -256,6 +256,11 @@
         });
     }
 
+    /** Takes a machine that is lost for good out of the platform's list. */
+    void forget(Worker worker) {
+        workers.remove(worker.machine());
+    }
+
     /** Crashes a worker; its machine is down for a time, and comes back with a new worker. */
     void crash(Worker worker, long downMillis) {
         states.put(worker.machine(), "down");
