--- a/review/standin-3/TrialCase.java
+++ b/review/standin-3/TrialCase.java
@@ -56,7 +56,7 @@
             labelled.setFailing(true);
         }
         double begun = Bed.seconds();
-        for (int n = 0; Bed.seconds() < begun + FAILING_S; n++) {
+        for (int n = 0; Bed.seconds() < begun + FAILING_S - 0.5; n++) {
             post(bed, String.format("%016x", 0xf100 + n), 300, false);
             Bed.sleep(300);
         }
