--- a/review/standin-3/LateCase.java
+++ b/review/standin-3/LateCase.java
@@ -125,16 +125,17 @@
             synchronized (this) {
                 boolean ours = request.path().equals("/run-start") && ((String) body.get("task")).startsWith(id);
                 long number = Json.number(body, "run_id", 0);
+                if (request.path().equals("/run-stop") && ((String) body.get("task")).startsWith(id)) {
+                    bed.record("worker " + worker.id() + " is told to stop run " + number);
+                }
                 if (!trouble || !ours || holder != null && number != run) {
                     return false;
                 }
-                bed.record("worker " + worker.id() + " leaves the start of run " + number + " unanswered"
-                        + (holder == null ? ", and carries it out " + LATE_MILLIS + " ms later" : ""));
-                if (holder == null) {
-                    holder = worker;
-                    run = number;
-                    Http.thread("late", () -> carryOut(worker.id(), request, body));
-                }
+                bed.record("worker " + worker.id() + " leaves the start of run " + number
+                        + " unanswered, and carries it out " + LATE_MILLIS + " ms later");
+                holder = worker;
+                run = number;
+                Http.thread("late", () -> carryOut(worker.id(), request, body));
             }
             Bed.sleep(2000);
             return true;
