--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -9,16 +9,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
-import org.crocusgrade.core.customer.Customer;
 import org.crocusgrade.core.customer.CustomerDirectory;
 import org.crocusgrade.core.id.CustomerId;
 import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.port.AdviceService.Advice;
-import org.crocusgrade.core.schedule.FirstAttempts.Attempt;
 import org.crocusgrade.core.schedule.Placement.Phase;
 import org.crocusgrade.core.submission.Resources;
 import org.crocusgrade.core.submission.SubmissionId;
-import org.crocusgrade.core.submission.SubmissionSpec;
 import org.crocusgrade.core.submission.SubmissionState;
 import org.crocusgrade.core.submission.TaskEnd;
 import org.crocusgrade.core.submission.TaskRun;
@@ -40,7 +37,7 @@
     private final PoolState pool;
     private final RunTimeModel times = new RunTimeModel();
     private final WorkEstimator estimator = new WorkEstimator(times);
-    private final Admission admission = new Admission(estimator);
+    private final PoolAdmission admission;
     private final CrashTracker crashes;
     private final ReportProcessor reports;
     private final StopPlanner stops;
@@ -49,14 +46,8 @@
     private final CopyPlanner copies;
     private final AdvicePlanner advicePlanner;
     private final Pacer pacer;
-    private final ArrivalMeter arrivals = new ArrivalMeter();
-    private final RecentCapacity capacity = new RecentCapacity();
-    private final RecentCapacity memory = new RecentCapacity();
-    private final FirstAttempts attempts = new FirstAttempts();
-    private final CustomerRates rates = new CustomerRates();
     private final Supplier<CustomerDirectory> customers;
     private final SubmissionRanking ranking;
-    private final BacklogEstimator backlog;
     private final CustomerShares shares = new CustomerShares();
     private final OrderWindow window = new OrderWindow();
     private final CustomerDemand demand;
@@ -101,7 +92,7 @@
         pacer = new Pacer(pool);
         stops = new StopPlanner(pool, reports, times, pacer);
         ranking = new SubmissionRanking(pool, estimator, shares);
-        backlog = new BacklogEstimator(pool, estimator, ranking);
+        admission = new PoolAdmission(pool, estimator, ranking, customers);
         starts = new StartPlanner(pool, order.orElse(ranking), pacer);
         isolation = new IsolationPlanner(pool, crashes, starts, new Placer(pool, pacer));
         copies = new CopyPlanner(pool, times, pacer);
@@ -124,7 +115,7 @@
 
     /** Adds a submission that is stored. */
     public void add(TrackedSubmission submission) {
-        attempts.remove(submission.id());
+        admission.onAccepted(submission.id());
         pool.add(submission);
         crashes.add(submission);
         submission.occurrences().stream()
@@ -359,7 +350,7 @@
         crashes.update(now);
         crashes.takeExhausted().forEach(reports::watchIfExhausted);
         reports.failExhausted(wall);
-        usableCapacity(now);
+        admission.updateCapacity(now);
         shares.update(pool, customers.get(), now, wall);
         int room = window.room(ordersInFlight(now));
         List<Order> orders = new ArrayList<>(stops.plan(now, room));
@@ -393,34 +384,7 @@
      * Work that is not long-running is counted as offered load in both cases.
      */
     public AdmissionDecision checkAdmission(AdmissionRequest request, long now) {
-        SubmissionSpec spec = request.spec();
-        if (!spec.isLongRunning()) {
-            arrivals.add(now, estimator.coreMillis(request.route().queue(), spec));
-        }
-        Attempt first = attempts.find(request.id()).orElseGet(() -> firstAttempt(request, now));
-        BatchCapacity usable = usableCapacity(now);
-        if (spec.isLongRunning() || spec.recurrence().isPresent()) {
-            return Admission.acceptAlways(first, usable);
-        }
-        attempts.put(request.id(), first);
-        Backlog ahead = backlog.ahead(ranking.rank(request, first), now);
-        return admission.decide(request, first, ahead, usable);
-    }
-
-    private Attempt firstAttempt(AdmissionRequest request, long now) {
-        CustomerDirectory directory = customers.get();
-        rates.retain(directory);
-        Optional<Customer> customer = request.customer().flatMap(directory::find);
-        boolean batch = !request.spec().isLongRunning();
-        boolean beyondRate =
-                batch && customer.isPresent() && rates.isBeyondRate(customer.get(), now);
-        return new Attempt(now, beyondRate);
-    }
-
-    private BatchCapacity usableCapacity(long now) {
-        BatchCapacity present = batchCapacity(now);
-        return new BatchCapacity(
-                capacity.usable(present.cores(), now), memory.usable(present.memoryMb(), now));
+        return admission.decide(request, now);
     }
 
     /**
@@ -441,12 +405,12 @@
      * of a core.
      */
     public long offeredMilliCores(long now) {
-        return arrivals.milliCores(now);
+        return admission.arrivals().milliCores(now);
     }
 
     /** Returns how many submissions have arrived within the window of {@link ArrivalMeter}. */
     public int offeredSubmissions(long now) {
-        return arrivals.submissions(now);
+        return admission.arrivals().submissions(now);
     }
 
     /** Returns what the tasks of the pool use and wait for. */
