Store the starts without an answer for the next owner

An owner gets no answer to a start, the task goes on on the same worker, and the owner is killed. The next owner didn't know that the worker may still carry the start out, and when that one had started again behind a cut, it began the task elsewhere.

Cause: which starts are open was known to one process only.

Why this works: when a call for a start has got no answer, the worker and the run are stored with the submission (StoredTask); the next owner binds the task to that worker, counting the time from the last moment at which the former owner may have sent calls. Calls without an answer are few, so it costs few writes, and the next write of the submission drops what is no longer open.

What remains: an owner that dies within the 800 ms in which it still waits for the answer has stored nothing (startOfTheFormerOwnerThatArrivesAfterThePoolIsSettledRunsNowhereElse, known to fail).

--- a/core/src/main/java/org/crocusgrade/core/schedule/OpenStarts.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/OpenStarts.java
@@ -12,6 +12,7 @@
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.crocusgrade.core.id.WorkerId;
+import org.crocusgrade.core.schedule.Task.UnansweredStart;
 import org.crocusgrade.core.submission.RunId;
 import org.crocusgrade.core.submission.TaskId;
 
@@ -44,10 +45,42 @@
      * @param longestLease how long a worker executes a run that it has begun without being reached
      */
     public void onSent(Placement placement, long sentNanos, Duration longestLease) {
-        OpenStart open = find(placement).orElseGet(() -> add(placement));
-        open.calls++;
-        open.carriedOutUntilNanos = sentNanos + MAX_DELAY.toNanos();
-        open.activeUntilNanos = open.carriedOutUntilNanos + longestLease.toNanos();
+        find(placement)
+                .orElseGet(() -> add(placement.task(), placement.worker().id(), placement.run()))
+                .onSent(sentNanos, longestLease);
+    }
+
+    /**
+     * Records that a worker gave no answer to a call for a start.
+     *
+     * @return whether the start is to be stored for the next owner
+     */
+    boolean onUnanswered(Placement placement) {
+        Task task = placement.task();
+        if (!isOpen(placement) || task.isOver() || task.step().allowsCopies()) {
+            return false;
+        }
+        UnansweredStart start = new UnansweredStart(placement.worker().id(), placement.run());
+        task.setUnansweredStart(Optional.of(start));
+        return true;
+    }
+
+    /**
+     * Restores the starts without an answer that an earlier owner has stored with a submission.
+     *
+     * @param sentNanos when that owner may have sent them last, on the monotonic clock
+     * @param longestLease as for {@link #onSent}
+     */
+    public void restore(TrackedSubmission submission, long sentNanos, Duration longestLease) {
+        for (List<TrackedStep> steps : submission.occurrences()) {
+            for (TrackedStep step : steps) {
+                for (Task task : step.tasks()) {
+                    task.unansweredStart()
+                            .map(s -> add(task, s.worker(), s.run()))
+                            .ifPresent(o -> o.onSent(sentNanos, longestLease));
+                }
+            }
+        }
     }
 
     /**
@@ -55,18 +88,15 @@
      */
     public void onSettled(Placement placement) {
         find(placement).ifPresent(o -> o.calls--);
-        starts.computeIfPresent(
-                placement.task().id(),
-                (task, open) -> {
-                    open.removeIf(o -> o.calls == 0);
-                    return open.isEmpty() ? null : open;
-                });
-    }
-
-    private OpenStart add(Placement placement) {
-        RunId run = new RunId(placement.task().id(), placement.run());
-        OpenStart added = new OpenStart(placement.worker().id(), run);
-        starts.computeIfAbsent(run.task(), t -> new ArrayList<>(1)).add(added);
+        List<OpenStart> open = starts.get(placement.task().id());
+        if (open != null && removeIf(open, o -> o.calls == 0)) {
+            starts.remove(placement.task().id());
+        }
+    }
+
+    private OpenStart add(Task task, WorkerId worker, long run) {
+        OpenStart added = new OpenStart(task, worker, new RunId(task.id(), run));
+        starts.computeIfAbsent(task.id(), t -> new ArrayList<>(1)).add(added);
         return added;
     }
 
@@ -136,25 +166,41 @@
     }
 
     private void removeIf(Predicate<OpenStart> which) {
-        starts.values()
-                .removeIf(
-                        open -> {
-                            open.removeIf(which);
-                            return open.isEmpty();
-                        });
+        starts.values().removeIf(open -> removeIf(open, which));
+    }
+
+    /** Removes some starts of one task; returns whether none is left. */
+    private static boolean removeIf(List<OpenStart> open, Predicate<OpenStart> which) {
+        open.stream().filter(which).forEach(OpenStart::onRemoved);
+        open.removeIf(which);
+        return open.isEmpty();
     }
 
     /** A start with calls that are neither answered nor too old. */
     private static final class OpenStart {
+        private final Task task;
         private final WorkerId worker;
         private final RunId run;
         private int calls;
         private long carriedOutUntilNanos;
         private long activeUntilNanos;
 
-        OpenStart(WorkerId worker, RunId run) {
+        OpenStart(Task task, WorkerId worker, RunId run) {
+            this.task = task;
             this.worker = worker;
             this.run = run;
         }
+
+        void onSent(long sentNanos, Duration longestLease) {
+            calls++;
+            carriedOutUntilNanos = sentNanos + MAX_DELAY.toNanos();
+            activeUntilNanos = carriedOutUntilNanos + longestLease.toNanos();
+        }
+
+        void onRemoved() {
+            if (task.unansweredStart().filter(s -> s.run() == run.run()).isPresent()) {
+                task.setUnansweredStart(Optional.empty());
+            }
+        }
     }
 }
--- a/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/PoolScheduler.java
@@ -251,6 +251,17 @@
         clearRuns(worker);
     }
 
+    /**
+     * Records that a worker gave no answer to a call for a start, which is stored: the next owner
+     * must not start the task on another worker either.
+     */
+    public void onStartUnanswered(Placement placement) {
+        if (pool.openStarts().onUnanswered(placement)) {
+            placement.task().step().submission().markChanged();
+            pool.markDirty(placement.task().step().submission());
+        }
+    }
+
     /** Returns the starts of which a call may still be carried out. */
     public OpenStarts openStarts() {
         return pool.openStarts();
--- a/core/src/main/java/org/crocusgrade/core/schedule/Task.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Task.java
@@ -4,6 +4,7 @@
 import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SortedSet;
@@ -47,6 +48,7 @@
     private long notBeforeNanos = Long.MIN_VALUE;
     private long crashesChange;
     private long announcedRun;
+    private Optional<UnansweredStart> unansweredStart = Optional.empty();
 
     Task(TrackedStep step, int index) {
         this.step = step;
@@ -120,6 +122,18 @@
         }
     }
 
+    /**
+     * Returns a start that its worker has not answered and may still carry out, if there is one.
+     */
+    public Optional<UnansweredStart> unansweredStart() {
+        return unansweredStart;
+    }
+
+    /** Sets the start that its worker may still carry out; it is stored for the next owner. */
+    public void setUnansweredStart(Optional<UnansweredStart> start) {
+        unansweredStart = start;
+    }
+
     /**
      * Returns whether the task may be the cause of a crash, so that it is to run in isolation.
      * Members of a gang start together, so they do not.
@@ -300,4 +314,11 @@
     boolean isAtFullShare() {
         return placements.stream().anyMatch(Placement::isAtFullShare);
     }
+
+    /** A start to which a worker gave no answer. */
+    public record UnansweredStart(WorkerId worker, long run) {
+        public UnansweredStart {
+            Objects.requireNonNull(worker);
+        }
+    }
 }
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/OrderSender.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/OrderSender.java
@@ -16,6 +16,7 @@
     private final BatchRuntime runtime;
     private final WorkerSession session;
     private final RunLease lease;
+    private final StartCalls startCalls;
     private final RepeatDelay orderDelay;
     private final WorkerSession.Listener listener;
 
@@ -23,11 +24,13 @@
             BatchRuntime runtime,
             WorkerSession session,
             RunLease lease,
+            StartCalls startCalls,
             RepeatDelay orderDelay,
             WorkerSession.Listener listener) {
         this.runtime = runtime;
         this.session = session;
         this.lease = lease;
+        this.startCalls = startCalls;
         this.orderDelay = orderDelay;
         this.listener = listener;
     }
@@ -86,12 +89,17 @@
 
                             @Override
                             public void onSent(long sentNanos) {
-                                listener.onStartSent(placement, sentNanos);
+                                startCalls.onSent(placement, sentNanos);
+                            }
+
+                            @Override
+                            public void onUnanswered() {
+                                startCalls.onUnanswered(placement);
                             }
 
                             @Override
                             public void onSettled() {
-                                listener.onStartSettled(placement);
+                                startCalls.onSettled(placement);
                             }
 
                             @Override
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolOwner.java
@@ -138,7 +138,10 @@
      * records.
      */
     void load(List<TrackedSubmission> stored, Map<SubmissionId, Long> revisions) {
-        stored.forEach(scheduler::add);
+        for (TrackedSubmission submission : stored) {
+            scheduler.add(submission);
+            poolWorkers.restoreStarts(submission);
+        }
         revisions.forEach(writer::restore);
         requests.tick();
         loaded = true;
@@ -408,16 +411,6 @@
         schedulePlan();
     }
 
-    @Override
-    public void onStartSent(Placement placement, long sentNanos) {
-        scheduler.openStarts().onSent(placement, sentNanos, RunLease.longest(runtime.limits()));
-    }
-
-    @Override
-    public void onStartSettled(Placement placement) {
-        scheduler.openStarts().onSettled(placement);
-    }
-
     @Override
     public void onStopAnswer(Placement placement, boolean answered) {
         scheduler.onStopAnswer(placement, answered, runtime.clock().nanoTime());
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/PoolWorkers.java
@@ -20,6 +20,7 @@
 import org.crocusgrade.core.schedule.PoolScheduler;
 import org.crocusgrade.core.schedule.RepeatDelay;
 import org.crocusgrade.core.schedule.StopReason;
+import org.crocusgrade.core.schedule.TrackedSubmission;
 import org.crocusgrade.core.schedule.WorkerNode;
 import org.crocusgrade.core.submission.Resources;
 import org.crocusgrade.core.submission.RunId;
@@ -42,6 +43,7 @@
     private final DutyView duty;
     private final WorkerSession.Listener listener;
     private final RepeatDelay orderDelay = new RepeatDelay(MAX_REPEAT_DELAY);
+    private final StartCalls startCalls;
     private final FencingTokens tokens;
     private final FormerRuns formerRuns;
     private final Map<WorkerId, WorkerSession> sessions = new TreeMap<>();
@@ -64,6 +66,7 @@
         this.scheduler = scheduler;
         this.duty = duty;
         this.listener = listener;
+        startCalls = new StartCalls(runtime, scheduler);
         tokens = new FencingTokens(runtime, ownership, () -> onWorkers(registered));
         formerRuns = new FormerRuns(runtime, service, scheduler, duty);
         tookOverNanos = runtime.clock().nanoTime();
@@ -74,6 +77,11 @@
         formerRuns.onLiveWorkers(live);
     }
 
+    /** Restores which starts of a submission its earlier owner got no answer to. */
+    void restoreStarts(TrackedSubmission submission) {
+        startCalls.restore(submission, tookOverNanos);
+    }
+
     Collection<WorkerSession> sessions() {
         return sessions.values();
     }
@@ -177,6 +185,7 @@
                         entry,
                         token.getAsLong(),
                         last == null ? OptionalLong.empty() : last.lastCallNanos,
+                        startCalls,
                         orderDelay,
                         listener);
         sessions.put(entry.worker(), session);
@@ -197,7 +206,9 @@
                 "cores",
                 entry.capacity().milliCores());
         session.start();
-        rejectLateStarts(session);
+        if (last != null) {
+            rejectLateStarts(session);
+        }
         return Optional.of(session);
     }
 
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordCodec.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RecordCodec.java
@@ -13,10 +13,12 @@
 import org.crocusgrade.core.id.CustomerId;
 import org.crocusgrade.core.id.QueueId;
 import org.crocusgrade.core.id.ServiceId;
+import org.crocusgrade.core.id.WorkerId;
 import org.crocusgrade.core.port.FormatException;
 import org.crocusgrade.core.schedule.CrashHistory.Crash;
 import org.crocusgrade.core.schedule.CrashHistory.Kind;
 import org.crocusgrade.core.schedule.Task;
+import org.crocusgrade.core.schedule.Task.UnansweredStart;
 import org.crocusgrade.core.schedule.TrackedStep;
 import org.crocusgrade.core.schedule.TrackedSubmission;
 import org.crocusgrade.core.submission.StepId;
@@ -168,6 +170,11 @@
     private static void restore(Task task, StoredTask stored) {
         task.restore(stored.getFailedRunsList(), stored.getCheckpoint());
         task.restoreAnnouncement(stored.getAnnouncedRun());
+        if (!stored.getUnansweredWorker().isEmpty()) {
+            WorkerId worker = new WorkerId(stored.getUnansweredWorker());
+            task.setUnansweredStart(
+                    Optional.of(new UnansweredStart(worker, stored.getUnansweredRun())));
+        }
         for (StoredCrash crash : stored.getCrashesList()) {
             task.crashes().put(new Crash(crash.getRun(), Kind.values()[crash.getKind()]));
         }
@@ -197,6 +204,7 @@
             boolean plain =
                     task.failedRuns().isEmpty()
                             && task.checkpoint().isEmpty()
+                            && task.unansweredStart().isEmpty()
                             && task.crashes().isEmpty();
             if (task.isDone() || plain) {
                 continue;
@@ -210,6 +218,11 @@
                             .setCheckpoint(task.checkpoint())
                             .setAnnouncedRun(task.announcedRun());
             task.crashes().crashes().forEach(c -> stored.addCrashes(stored(c)));
+            task.unansweredStart()
+                    .ifPresent(
+                            s ->
+                                    stored.setUnansweredWorker(s.worker().value())
+                                            .setUnansweredRun(s.run()));
             record.addTasks(stored);
         }
         if (!done.isEmpty()) {
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/RepeatedOrder.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/RepeatedOrder.java
@@ -78,6 +78,7 @@
         open--;
         if (mayHaveArrived(failure)) {
             mayHaveArrived = true;
+            result.onUnanswered();
         } else {
             result.onSettled();
         }
@@ -110,6 +111,9 @@
          */
         default void onSent(long sentNanos) {}
 
+        /** Called when a call got no answer, so that it may be carried out seconds later. */
+        default void onUnanswered() {}
+
         /**
          * Called when a call can no longer be carried out, as it was answered, or was not sent.
          * This also happens after the order has its result.
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -99,6 +99,7 @@
             WorkerEntry entry,
             long token,
             OptionalLong formerCallNanos,
+            StartCalls startCalls,
             RepeatDelay orderDelay,
             Listener listener) {
         this.runtime = runtime;
@@ -107,7 +108,7 @@
         lease = new RunLease(runtime);
         this.target = new Target(entry.worker(), entry.address(), token);
         this.listener = listener;
-        orderSender = new OrderSender(runtime, this, lease, orderDelay, listener);
+        orderSender = new OrderSender(runtime, this, lease, startCalls, orderDelay, listener);
     }
 
     WorkerNode node() {
@@ -471,12 +472,6 @@
         void onStartAnswer(
                 WorkerSession session, Placement placement, StartAnswer answer, String detail);
 
-        /** Called when a call for a start is sent. */
-        void onStartSent(Placement placement, long sentNanos);
-
-        /** Called when a call for a start was answered, or was not sent. */
-        void onStartSettled(Placement placement);
-
         /** Called when a stop was answered; {@code answered} is false if the call failed. */
         void onStopAnswer(Placement placement, boolean answered);
 
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FormerIncarnationTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FormerIncarnationTest.java
@@ -256,6 +256,26 @@
         assertThat(fleet.checks.violations(), empty());
     }
 
+    /**
+     * The owner that got no answer to a start is killed, and the worker starts again behind a cut
+     * when the next owner has taken its runs over.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {7000, 9000, 12_000})
+    void lateStartThatTheFormerOwnerHasStoredRunsNowhereElse(long lateMillis) {
+        SimFleet fleet = fleetWithUnansweredStarts(lateMillis);
+        List<SimWorker> workers = workers(fleet, 2);
+        setLate(fleet, 0, lateMillis);
+        fleet.time.run(1500);
+        fleet.kill(fleet.holder().name);
+        fleet.time.run(4900);
+        isolate(fleet, workers);
+        workers.forEach(SimWorker::restart);
+        workers.forEach(fleet::register);
+        fleet.time.run(30_000);
+        assertThat(fleet.checks.violations(), empty());
+    }
+
     /** The next incarnation has rejected the late start, and the one after it carries it out. */
     @ParameterizedTest
     @ValueSource(longs = {4000, 8000})
