Request a report as soon as the stop of an unanswered start is answered

Cause: only a report that was requested after the stop's answer proves that the run hasn't begun. The poll that is open was sent before, and the next one, too, waits up to 1.5 s for an end.

Why this works: the owner requests a report that doesn't wait, 20 ms after the answer, so that one serves for all stops of that time. It costs one call for each group of unanswered starts.

--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/OrderSender.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/OrderSender.java
@@ -1,5 +1,8 @@
 package org.crocusgrade.daemon.batch;
 
+import java.time.Duration;
+import java.util.OptionalLong;
+import org.crocusgrade.core.port.WorkerOrders.Poll;
 import org.crocusgrade.core.port.WorkerOrders.StartOutcome;
 import org.crocusgrade.core.port.WorkerOrders.StartReply;
 import org.crocusgrade.core.port.WorkerOrders.StartRun;
@@ -7,18 +10,24 @@
 import org.crocusgrade.core.schedule.Placement;
 import org.crocusgrade.core.schedule.RepeatDelay;
 import org.crocusgrade.core.schedule.StartAnswer;
+import org.crocusgrade.core.schedule.StopReason;
+import org.crocusgrade.daemon.log.Event;
 
 /**
  * Sends the orders of a pool's owner to one incarnation of a worker and reports their answers.
  * Starts and stops whose answers are late are repeated (see {@link RepeatedOrder}).
  */
 final class OrderSender {
+    /** Delay before a report is requested, which then serves for all stops of that time. */
+    private static final long REPORT_DELAY_MILLIS = 20;
+
     private final BatchRuntime runtime;
     private final WorkerSession session;
     private final RunLease lease;
     private final StartCalls startCalls;
     private final RepeatDelay orderDelay;
     private final WorkerSession.Listener listener;
+    private boolean reportRequested;
 
     OrderSender(
             BatchRuntime runtime,
@@ -142,6 +151,36 @@
         listener.onStartAnswer(session, placement, answer, String.valueOf(failure.getMessage()));
     }
 
+    /**
+     * Requests a report that shows whether a run has begun whose start got no answer. The open poll
+     * was sent before the stop, so it proves nothing, and its answer may take as long as it waits.
+     */
+    private void requestReport() {
+        if (reportRequested) {
+            return;
+        }
+        reportRequested = true;
+        runtime.after(REPORT_DELAY_MILLIS, this::sendReportRequest);
+    }
+
+    private void sendReportRequest() {
+        reportRequested = false;
+        if (session.isClosed()) {
+            return;
+        }
+        long sentNanos = runtime.clock().nanoTime();
+        runtime.orders()
+                .poll(session.target(), new Poll(OptionalLong.empty(), 0, Duration.ZERO))
+                .emitOn(runtime.loop())
+                .subscribe()
+                .with(r -> session.onExtraReport(sentNanos, r), this::onReportFailure);
+    }
+
+    private void onReportFailure(Throwable failure) {
+        runtime.log().log(
+                Event.REPORT_MISSED, "worker", session.node().id(), "cause", failure.getMessage());
+    }
+
     private void sendStop(Order.Stop stop) {
         long sentNanos = runtime.clock().nanoTime();
         new RepeatedOrder<>(
@@ -154,6 +193,9 @@
                             public void onAnswer(Long clock, boolean repeated) {
                                 lease.onOrderAnswer(clock, sentNanos);
                                 stop.placement().ifPresent(p -> listener.onStopAnswer(p, true));
+                                if (stop.reason() == StopReason.UNANSWERED_START) {
+                                    requestReport();
+                                }
                             }
 
                             @Override
--- a/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/batch/WorkerSession.java
@@ -39,10 +39,7 @@
      */
     private static final long ACK_DELAY_MILLIS = 120;
 
-    /**
-     * How long the worker may delay its answer while a long-running task has not reached its full
-     * share yet.
-     */
+    /** How long the worker may delay its answer while a long-running task is starting. */
     private static final Duration SETTLING_WAIT = Duration.ofMillis(400);
 
     /**
@@ -281,11 +278,7 @@
         if (!isOpen(asked)) {
             return;
         }
-        boolean otherIncarnation =
-                node.startedEpochMillis() > 0
-                        && report.startedEpochMillis().isPresent()
-                        && report.startedEpochMillis().getAsLong() != node.startedEpochMillis();
-        if (otherIncarnation) {
+        if (isOfOtherIncarnation(report)) {
             round = Optional.empty();
             listener.onOtherIncarnation(this, "another incarnation answers");
             return;
@@ -319,6 +312,18 @@
         }
     }
 
+    private boolean isOfOtherIncarnation(WorkerReport report) {
+        long started = node.startedEpochMillis();
+        return started > 0 && report.startedEpochMillis().orElse(started) != started;
+    }
+
+    /** Processes a report that was requested besides the polls. */
+    void onExtraReport(long requestedNanos, WorkerReport report) {
+        if (!closed && fenced && failures == 0 && !isOfOtherIncarnation(report)) {
+            listener.onReport(this, requestedNanos, report);
+        }
+    }
+
     /** Logs how many runs the worker has begun before; none of them was ordered by this session. */
     private void logFirstReport(WorkerReport report) {
         runtime.log().log(
--- a/daemon/src/main/java/org/crocusgrade/daemon/log/Event.java
+++ b/daemon/src/main/java/org/crocusgrade/daemon/log/Event.java
@@ -53,6 +53,8 @@
     TASK_GIVEN_UP(205, Level.WARNING),
     /** Further runs of a task begin on one worker, which may still begin an earlier one. */
     TASK_BOUND(206, Level.INFO),
+    /** A worker did not answer a request for a report besides the polls. */
+    REPORT_MISSED(207, Level.INFO),
     /** The start of a run was ordered. */
     RUN_ORDERED(300, Level.INFO),
     /** A run could not be started, or it is unknown whether it was. */
--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/UnansweredOrdersTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/UnansweredOrdersTest.java
@@ -3,8 +3,11 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Replays a surge in which workers leave one call in twenty unanswered and carry it out seconds
@@ -33,6 +36,27 @@
         assertThat(unanswered / answered, greaterThan(MIN_RUNS));
     }
 
+    /**
+     * The other runs last, so that the open poll of their worker ends late. A call counts as
+     * unanswered after 0.8 s, and the second one is sent up to 0.4 s after the first.
+     *
+     * @param offsetMillis shifts the start against the polls
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 300, 600, 900, 1200, 1500})
+    void taskWithoutAnAnswerToItsStartBeginsBeforeTheOpenPollEnds(long offsetMillis) {
+        SimFleet fleet = SimFleet.withEndlessTasks(1);
+        fleet.submit(4);
+        fleet.time.run(20_000 + offsetMillis);
+        fleet.daemons.values().forEach(d -> d.orders.setLateShare(1));
+        fleet.submit(4);
+        fleet.time.run(500);
+        fleet.daemons.values().forEach(d -> d.orders.setLateShare(0));
+        fleet.time.run(1000);
+        assertThat(fleet.checks.starts(), is(8));
+        assertThat(fleet.checks.violations(), empty());
+    }
+
     /** Returns how many runs start in a surge that keeps all workers busy. */
     private static int starts(int seed, double unansweredShare) {
         SimFleet fleet = new SimFleet(seed, false, WORKERS);
