--- a/daemon/src/test/java/org/crocusgrade/daemon/batch/FormerIncarnationTest.java
+++ b/daemon/src/test/java/org/crocusgrade/daemon/batch/FormerIncarnationTest.java
@@ -1,15 +1,18 @@
 package org.crocusgrade.daemon.batch;
 
+import static org.crocusgrade.daemon.batch.LateCalls.fleetWithUnansweredStarts;
+import static org.crocusgrade.daemon.batch.LateCalls.isolate;
+import static org.crocusgrade.daemon.batch.LateCalls.loseStartAnswers;
+import static org.crocusgrade.daemon.batch.LateCalls.setLate;
+import static org.crocusgrade.daemon.batch.LateCalls.warmUp;
+import static org.crocusgrade.daemon.batch.LateCalls.workers;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 
-import java.util.Collection;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.LongStream;
-import org.crocusgrade.core.id.WorkerId;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -24,7 +27,6 @@
     private static final int SEEDS = 30;
     private static final int ROUNDS = 3;
     private static final long LONG_TASK_MILLIS = 1300;
-    private static final double UNANSWERED = 0.5;
 
     /** How long the entry of a worker is kept that is silent. */
     private static final long ENTRY_MILLIS = 4500;
@@ -256,26 +258,6 @@
         assertThat(fleet.checks.violations(), empty());
     }
 
-    /**
-     * The owner that got no answer to a start is killed, and the worker starts again behind a cut
-     * when the next owner has taken its runs over.
-     */
-    @ParameterizedTest
-    @ValueSource(longs = {7000, 9000, 12_000})
-    void lateStartThatTheFormerOwnerHasStoredRunsNowhereElse(long lateMillis) {
-        SimFleet fleet = fleetWithUnansweredStarts(lateMillis);
-        List<SimWorker> workers = workers(fleet, 2);
-        setLate(fleet, 0, lateMillis);
-        fleet.time.run(1500);
-        fleet.kill(fleet.holder().name);
-        fleet.time.run(4900);
-        isolate(fleet, workers);
-        workers.forEach(SimWorker::restart);
-        workers.forEach(fleet::register);
-        fleet.time.run(30_000);
-        assertThat(fleet.checks.violations(), empty());
-    }
-
     /** The next incarnation has rejected the late start, and the one after it carries it out. */
     @ParameterizedTest
     @ValueSource(longs = {4000, 8000})
@@ -293,79 +275,6 @@
         assertThat(fleet.checks.violations(), empty());
     }
 
-    /**
-     * A worker answers the stop of a start that got no answer, and lists no run of it. The worker
-     * then starts again, is cut off, and its next incarnation carries the start out.
-     *
-     * @param lateMillis when it is carried out, after it was sent
-     */
-    @ParameterizedTest
-    @ValueSource(longs = {7000, 9000, 12_000})
-    void lateStartThatIsCarriedOutAfterItsStopWasAnsweredRunsNowhereElse(long lateMillis) {
-        SimFleet fleet = fleetWithUnansweredStarts(lateMillis);
-        List<SimWorker> workers = workers(fleet, 2);
-        setLate(fleet, 0, lateMillis);
-        fleet.time.run(4500);
-        isolate(fleet, workers);
-        workers.forEach(SimWorker::restart);
-        fleet.time.run(30_000);
-        assertThat(fleet.checks.violations(), empty());
-    }
-
-    /**
-     * A run fails while the second call for its start is open, and the next incarnation of the
-     * worker, which is cut off, carries that call out beside the next attempt.
-     */
-    @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4, 5, 6})
-    void openSecondCallForAFailedRunDoesNotRunBesideTheNextAttempt(long seed) {
-        SimFleet fleet = SimFleet.withTaskMillis(seed, 1300);
-        warmUp(fleet);
-        fleet.workers.values().forEach(w -> w.setFailing(true));
-        loseStartAnswers(fleet, 6000);
-        fleet.time.run(2500);
-        fleet.workers.values().forEach(w -> w.setFailing(false));
-        List<SimWorker> workers = workers(fleet, 2);
-        fleet.time.run(500);
-        isolate(fleet, workers);
-        workers.forEach(SimWorker::restart);
-        fleet.time.run(15_000);
-        assertThat(fleet.checks.violations(), empty());
-    }
-
-    /**
-     * Days on which a share of the starts gets no answer, and workers start again behind a cut, in
-     * any order. Tasks last longer than a start can be late, so that none is done before.
-     */
-    @ParameterizedTest
-    @MethodSource("seeds")
-    void lateStartsToWorkersThatStartAgainBehindACutRunNowhereElse(long seed) {
-        SimFleet fleet = SimFleet.withTaskMillis(seed, 20_000);
-        for (int round = 0; round < ROUNDS; round++) {
-            fleet.daemons.values().forEach(d -> d.orders.setLateInTransit());
-            fleet.daemons.values().forEach(d -> d.orders.setLateShare(UNANSWERED));
-            fleet.submit(6);
-            fleet.time.run(200);
-            fleet.daemons.values().forEach(d -> d.orders.setLateShare(0));
-            fleet.time.run(1500 + fleet.random.nextInt(5000));
-            List<SimWorker> workers = workers(fleet, 1 + fleet.random.nextInt(2));
-            isolate(fleet, workers);
-            fleet.time.run(fleet.random.nextInt(500));
-            workers.forEach(SimWorker::restart);
-            if (fleet.random.nextBoolean()) {
-                workers.forEach(fleet::register);
-            }
-            fleet.time.run(3000 + fleet.random.nextInt(6000));
-            isolate(fleet, List.of());
-            workers.forEach(fleet::register);
-            fleet.time.run(20_000);
-        }
-        assertThat("seed " + seed, fleet.checks.violations(), empty());
-        fleet.time.run(60_000);
-        assertThat("seed " + seed, fleet.unfinished(), empty());
-        assertThat("seed " + seed, fleet.checks.violations(), empty());
-    }
-
     /**
      * The next incarnation, which has answered, rejects a start for the former one. That says
      * nothing about the owner's duty.
@@ -404,29 +313,6 @@
         assertThat(fleet.checks.violations(), empty());
     }
 
-    /** Starts a fleet in which eight starts have just been sent that get no answer. */
-    private static SimFleet fleetWithUnansweredStarts(long lateMillis) {
-        SimFleet fleet = SimFleet.withEndlessTasks(1);
-        fleet.time.run(20_000);
-        setLate(fleet, 1, lateMillis);
-        fleet.submit(8);
-        fleet.time.run(100);
-        return fleet;
-    }
-
-    private static List<SimWorker> workers(SimFleet fleet, int count) {
-        return List.copyOf(fleet.workers.values()).subList(0, count);
-    }
-
-    /** Sets the share of calls that get no answer, and when they are carried out. */
-    private static void setLate(SimFleet fleet, double share, long millis) {
-        for (SimFleet.Daemon daemon : fleet.daemons.values()) {
-            daemon.orders.setLateInTransit();
-            daemon.orders.setLateMillis(millis);
-            daemon.orders.setLateShare(share);
-        }
-    }
-
     private static SimFleet loseAnswers(long seed, long lateMillis) {
         SimFleet fleet = SimFleet.withTaskMillis(seed, 1300);
         warmUp(fleet);
@@ -434,26 +320,6 @@
         return fleet;
     }
 
-    /** Plays enough tasks that late answers are told from usual ones. */
-    private static void warmUp(SimFleet fleet) {
-        fleet.workers.values().forEach(SimWorker::setSlowRuns);
-        for (int i = 0; i < 30; i++) {
-            fleet.submit(1 + fleet.random.nextInt(4));
-            fleet.time.run(200);
-        }
-    }
-
-    /** Submits tasks of whose starts one call is carried out unanswered, and one late. */
-    private static void loseStartAnswers(SimFleet fleet, long lateMillis) {
-        fleet.daemons.values().forEach(d -> d.orders.setLateMillis(lateMillis));
-        fleet.daemons.values().forEach(d -> d.orders.setLosingStartAnswers(true));
-        for (int i = 0; i < 8; i++) {
-            fleet.submit(3);
-            fleet.time.run(60);
-        }
-        fleet.daemons.values().forEach(d -> d.orders.setLosingStartAnswers(false));
-    }
-
     private static SimFleet busyFleet(long seed) {
         SimFleet fleet = SimFleet.withTaskMillis(seed, LONG_TASK_MILLIS);
         fleet.workers.values().forEach(SimWorker::setSlowRuns);
@@ -487,10 +353,4 @@
         }
         return restarted;
     }
-
-    private static void isolate(SimFleet fleet, Collection<SimWorker> workers) {
-        Set<WorkerId> cut = new HashSet<>();
-        workers.forEach(w -> cut.add(w.id));
-        fleet.daemons.values().forEach(d -> d.orders.setCut(cut));
-    }
 }
