--- a/core/src/main/java/org/crocusgrade/core/schedule/Placer.java
+++ b/core/src/main/java/org/crocusgrade/core/schedule/Placer.java
@@ -139,6 +139,7 @@
         return bound;
     }
 
+    /** Returns whether a task may begin on one worker only, by a start that may be carried out. */
     boolean isBound(Task task) {
         return pool.openStarts().boundTo(task).isPresent();
     }
